--- /dev/null
+++ b/core/table.go
@@ -0,0 +1,28 @@
+package core
+
+// MaxChain is the most candidates in one chain: the owner, the second choice
+// and the earlier owners that may still have flows of the bucket.
+const MaxChain = 6
+
+// Chain lists the backend servers that may hold a flow of a bucket, in the
+// order in which a packet visits them. Element 0 is the owner, element 1 the
+// second choice, later ones are earlier owners. A chain is never modified
+// after it is published.
+type Chain []BackendServerID
+
+// Table maps the buckets of one service to candidate chains. Many buckets
+// share a chain, so each bucket holds an index into the list of chains.
+// A table is never modified after it is published.
+type Table struct {
+	Service ServiceID
+	// Buckets holds, for each bucket, an index into Chains. Its length is a
+	// power of two and never changes in the life of a service.
+	Buckets []uint16
+	Chains  []Chain
+}
+
+// Chain returns the candidate chain of a bucket. The bucket must be below
+// len(t.Buckets).
+func (t *Table) Chain(bucket uint32) Chain {
+	return t.Chains[t.Buckets[bucket]]
+}
--- /dev/null
+++ b/demo/doc.go
@@ -0,0 +1,3 @@
+// Package demo runs all roles in one process on loopback, with small
+// backend servers and callers.
+package demo
--- /dev/null
+++ b/measure/doc.go
@@ -0,0 +1,4 @@
+// Command measure runs the project's measurements and prints their figures.
+package main
+
+func main() {}
--- /dev/null
+++ b/tools/importrule/importrule.go
@@ -0,0 +1,109 @@
+// Package importrule checks that the decision modules of the workspace do no
+// I/O and read no clock: their direct imports name neither networking, files
+// nor encodings, and their code calls none of the clock's functions.
+package importrule
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// Cores lists the decision modules, by folder.
+var Cores = []string{
+	"admission", "claim", "config", "consensus", "core", "flow",
+	"membership", "placement", "publish", "request",
+}
+
+// allowedProject lists the project's modules that a decision module may import.
+var allowedProject = map[string]bool{"zinniapulley.dev/core": true}
+
+// forbiddenImports lists imports that do I/O, read a clock or encode messages.
+var forbiddenImports = map[string]bool{
+	"net": true, "net/http": true, "net/rpc": true, "os": true, "os/exec": true,
+	"os/signal": true, "syscall": true, "log/slog": true, "math/rand": true,
+	"encoding/gob": true, "sync": true, "runtime": true,
+}
+
+// forbiddenTime lists the functions of package time that read a clock or wait.
+var forbiddenTime = map[string]bool{
+	"Now": true, "Since": true, "Until": true, "Sleep": true, "After": true,
+	"AfterFunc": true, "NewTimer": true, "NewTicker": true, "Tick": true,
+}
+
+// Breach is one place at which a decision module breaks the rule.
+type Breach struct {
+	// File is the path of the source file, Line its line.
+	File string
+	Line int
+	// What names the import or the call.
+	What string
+}
+
+// Check returns every breach in the non-test files of the folder.
+func Check(folder string) ([]Breach, error) {
+	var breaches []Breach
+	walk := func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		found, err := checkFile(path)
+		breaches = append(breaches, found...)
+		return err
+	}
+	err := filepath.WalkDir(folder, walk)
+	return breaches, errors.Annotatef(err, "check imports of %s", folder)
+}
+
+func checkFile(path string) ([]Breach, error) {
+	files := token.NewFileSet()
+	file, err := parser.ParseFile(files, path, nil, 0)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var breaches []Breach
+	for _, spec := range file.Imports {
+		name, err := strconv.Unquote(spec.Path.Value)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		if !importAllowed(name) {
+			breaches = append(breaches, Breach{File: path, Line: files.Position(spec.Pos()).Line, What: "import " + name})
+		}
+	}
+	ast.Inspect(file, func(node ast.Node) bool {
+		if call, ok := clockCall(node); ok {
+			breaches = append(breaches, Breach{File: path, Line: files.Position(node.Pos()).Line, What: "time." + call})
+		}
+		return true
+	})
+	return breaches, nil
+}
+
+func importAllowed(name string) bool {
+	if strings.HasPrefix(name, "zinniapulley.dev/") {
+		return allowedProject[name]
+	}
+	return !forbiddenImports[name]
+}
+
+func clockCall(node ast.Node) (string, bool) {
+	selector, ok := node.(*ast.SelectorExpr)
+	if !ok {
+		return "", false
+	}
+	pkg, ok := selector.X.(*ast.Ident)
+	if !ok || pkg.Name != "time" {
+		return "", false
+	}
+	return selector.Sel.Name, forbiddenTime[selector.Sel.Name]
+}
