--- /dev/null
+++ b/wire/server.go
@@ -0,0 +1,54 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"net/rpc"
+
+	"zinniapulley.dev/core"
+)
+
+// Server answers net/rpc calls on one TCP address.
+type Server struct {
+	listener net.Listener
+	rpc      *rpc.Server
+}
+
+// Listen opens the TCP address. Calls are answered once Serve runs.
+func Listen(address netip.AddrPort) (*Server, error) {
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		return nil, core.At("listen for rpc", core.Peer(address.String()), err)
+	}
+	return &Server{listener: listener, rpc: rpc.NewServer()}, nil
+}
+
+// Address returns the address that the server listens at.
+func (s *Server) Address() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Register makes the exported methods of receiver callable under the name.
+func (s *Server) Register(name string, receiver any) error {
+	return core.At("register rpc", core.Peer(name), s.rpc.RegisterName(name, receiver))
+}
+
+// Serve answers calls until ctx is done, then closes every connection.
+func (s *Server) Serve(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
+	defer stop()
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serveConn(ctx, conn)
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	s.rpc.ServeConn(conn)
+}
