--- /dev/null
+++ b/core/segment.go
@@ -0,0 +1,23 @@
+package core
+
+// TCPFlags holds the control bits of a TCP segment, in the order of the header.
+type TCPFlags uint8
+
+// The control bits of a TCP segment.
+const (
+	TCPFin TCPFlags = 1 << iota
+	TCPSyn
+	TCPRst
+	TCPPsh
+	TCPAck
+)
+
+// Has reports whether all the given bits are set.
+func (f TCPFlags) Has(bits TCPFlags) bool {
+	return f&bits == bits
+}
+
+// Opens reports whether the segment asks for a new flow: SYN without ACK.
+func (f TCPFlags) Opens() bool {
+	return f&(TCPSyn|TCPAck) == TCPSyn
+}
