--- a/settings/check.go
+++ b/settings/check.go
@@ -8,7 +8,7 @@
 
 	"github.com/juju/errors"
 	"zinniapulley.dev/core"
-	"zinniapulley.dev/strictjson"
+	"zinniapulley.dev/core/strictjson"
 )
 
 // DefaultStopDeadline is how long a graceful stop may take where the settings
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,7 +7,7 @@
 	"net/netip"
 
 	"zinniapulley.dev/core"
-	"zinniapulley.dev/strictjson"
+	"zinniapulley.dev/core/strictjson"
 )
 
 // MaxBytes is the largest settings file that is read, in bytes.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/onsi/gomega"
 	"zinniapulley.dev/settings"
-	"zinniapulley.dev/strictjson"
+	"zinniapulley.dev/core/strictjson"
 )
 
 const goodEntry = `{
