Decode the configuration document and list all its faults

Cause: the configuration document had no types, and encoding/json stops at the first fault and takes unknown, repeated and null fields.

Change: core/strictjson decodes JSON into Go values and reports each fault with its path; config has the document's types, bounds, owners of sections, token hashes and validation (addresses, shares, owners, bounds) on top of it. The import rule allows core/strictjson to decision modules.

--- /dev/null
+++ b/config/token.go
@@ -0,0 +1,50 @@
+package config
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"errors"
+
+	"zinniapulley.dev/core"
+)
+
+// TokenHash is the SHA-256 hash of a team's token. Tokens themselves are kept
+// nowhere.
+type TokenHash [sha256.Size]byte
+
+// HashToken returns the hash of a token.
+func HashToken(token string) TokenHash {
+	return sha256.Sum256([]byte(token))
+}
+
+// UnmarshalText reads 64 hexadecimal digits.
+func (h *TokenHash) UnmarshalText(text []byte) error {
+	decoded, err := hex.DecodeString(string(text))
+	if err != nil || len(decoded) != len(h) {
+		return errors.New("must be the SHA-256 hash of a token in 64 hexadecimal digits")
+	}
+	copy(h[:], decoded)
+	return nil
+}
+
+// MarshalText writes 64 hexadecimal digits.
+func (h TokenHash) MarshalText() ([]byte, error) {
+	return []byte(hex.EncodeToString(h[:])), nil
+}
+
+// Authenticate returns the team that a token belongs to, and false if it
+// belongs to none. The time it takes doesn't depend on which hash matches.
+func (d Document) Authenticate(token string) (core.Team, bool) {
+	presented := HashToken(token)
+	var team core.Team
+	found := false
+	for _, name := range sortedKeys(d.Teams) {
+		for _, hash := range d.Teams[name].Tokens {
+			if subtle.ConstantTimeCompare(hash[:], presented[:]) == 1 {
+				team, found = name, true
+			}
+		}
+	}
+	return team, found
+}
--- /dev/null
+++ b/core/strictjson/faults.go
@@ -0,0 +1,87 @@
+package strictjson
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// maxShown is the most faults that the text of Faults spells out.
+const maxShown = 200
+
+// Fault is one thing wrong with a JSON document.
+type Fault struct {
+	// Path leads to the value, for example "services.matcher.address" or
+	// "instances[2].port". It is empty for the document as a whole.
+	Path string `json:"path"`
+	// Problem says what is wrong with the value, for example "is missing".
+	Problem string `json:"problem"`
+}
+
+// String returns "path: problem".
+func (f Fault) String() string {
+	if f.Path == "" {
+		return "document: " + f.Problem
+	}
+	return f.Path + ": " + f.Problem
+}
+
+// Faults lists all that is wrong with a document. It is an error when it is
+// not empty; return it through Err.
+type Faults []Fault
+
+// Error returns one line for each fault, up to a bound, and the count of the
+// rest.
+func (f Faults) Error() string {
+	shown := f[:min(len(f), maxShown)]
+	lines := make([]string, len(shown), len(shown)+1)
+	for i, fault := range shown {
+		lines[i] = fault.String()
+	}
+	if len(f) > len(shown) {
+		lines = append(lines, fmt.Sprintf("and %d more faults", len(f)-len(shown)))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the faults as an error, and nil when there are none.
+func (f Faults) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
+}
+
+// Covers reports whether a fault lies at the path or at a value that holds it.
+func (f Faults) Covers(path string) bool {
+	for _, fault := range f {
+		rest, ok := strings.CutPrefix(path, fault.Path)
+		if ok && (fault.Path == "" || rest == "" || rest[0] == '.' || rest[0] == '[') {
+			return true
+		}
+	}
+	return false
+}
+
+// Join returns the path of a named member of the object at path. A name that
+// isn't made of letters, digits, '-' and '_' is quoted.
+func Join(path, name string) string {
+	if !plain(name) {
+		name = strconv.Quote(name)
+	}
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func plain(name string) bool {
+	for _, r := range name {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+		digit := r >= '0' && r <= '9'
+		if !letter && !digit && r != '-' && r != '_' {
+			return false
+		}
+	}
+	return name != ""
+}
--- a/tools/importrule/importrule.go
+++ b/tools/importrule/importrule.go
@@ -22,7 +22,10 @@
 }
 
 // allowedProject lists the project's modules that a decision module may import.
-var allowedProject = map[string]bool{"zinniapulley.dev/core": true}
+var allowedProject = map[string]bool{
+	"zinniapulley.dev/core":            true,
+	"zinniapulley.dev/core/strictjson": true,
+}
 
 // forbiddenImports lists imports that do I/O, read a clock or encode messages.
 var forbiddenImports = map[string]bool{
