--- a/core/strictjson/faults.go
+++ b/core/strictjson/faults.go
@@ -85,3 +85,8 @@
 	}
 	return name != ""
 }
+
+// Add appends a fault at the path. The problem is a format as fmt takes it.
+func (f *Faults) Add(path, problem string, args ...any) {
+	*f = append(*f, Fault{Path: path, Problem: fmt.Sprintf(problem, args...)})
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -23,7 +23,7 @@
 		return nil, core.At("read settings", core.Peer(path), err)
 	}
 	if info.Size() > MaxBytes {
-		err = errors.Errorf("file has %d bytes, at most %d are allowed", info.Size(), MaxBytes)
+		err = errors.Errorf("file is %d bytes long, more than %d", info.Size(), MaxBytes)
 		return nil, core.At("read settings", core.Peer(path), err)
 	}
 	data, err := os.ReadFile(path)
@@ -38,13 +38,16 @@
 // error is strictjson.Faults.
 func Parse(data []byte) (*Settings, error) {
 	parsed := &Settings{}
-	err := strictjson.Decode(data, MaxBytes, parsed)
-	if err != nil {
-		return nil, err
-	}
+	decoded := strictjson.Decode(data, parsed)
 	parsed.setDefaults()
-	var faults strictjson.Faults
-	parsed.check(&faults)
+	var found strictjson.Faults
+	parsed.check(&found)
+	faults := decoded
+	for _, fault := range found {
+		if !decoded.Covers(fault.Path) {
+			faults = append(faults, fault)
+		}
+	}
 	if len(faults) > 0 {
 		return nil, faults
 	}
@@ -64,14 +67,14 @@
 }
 
 func (s *Settings) check(faults *strictjson.Faults) {
-	required(faults, "$.instance", string(s.Instance))
-	required(faults, "$.dataCentre", string(s.DataCentre))
-	oneOf(faults, "$.log.level", s.Log.Level, "debug", "info", "warn", "error")
-	oneOf(faults, "$.log.format", s.Log.Format, "text", "json")
+	required(faults, "instance", string(s.Instance))
+	required(faults, "dataCentre", string(s.DataCentre))
+	oneOf(faults, "log.level", s.Log.Level, "debug", "info", "warn", "error")
+	oneOf(faults, "log.format", s.Log.Format, "text", "json")
 	if s.StopDeadline < 0 {
-		faults.Add("$.stopDeadline", "must not be negative")
+		faults.Add("stopDeadline", "must not be negative")
 	}
-	optionalAddress(faults, "$.status", s.Status)
+	optionalAddress(faults, "status", s.Status)
 	s.checkRole(faults)
 }
 
@@ -83,22 +86,22 @@
 	}
 	present, known := sections[s.Role]
 	if !known {
-		faults.Add("$.role", "must be %q, %q or %q", RoleEntry, RoleCompanion, RoleControl)
+		faults.Add("role", "must be %q, %q or %q", RoleEntry, RoleCompanion, RoleControl)
 		return
 	}
 	for _, role := range []Role{RoleEntry, RoleCompanion, RoleControl} {
 		if sections[role] && role != s.Role {
-			faults.Add("$."+string(role), "does not belong to role %q", s.Role)
+			faults.Add(string(role), "does not belong to role %q", s.Role)
 		}
 	}
 	if !present {
-		faults.Add("$."+string(s.Role), "is required for role %q", s.Role)
+		faults.Add(string(s.Role), "is required for role %q", s.Role)
 		return
 	}
 	switch s.Role {
 	case RoleEntry:
 		s.checkControls(faults)
-		address(faults, "$.entry.packets", s.Entry.Packets)
+		address(faults, "entry.packets", s.Entry.Packets)
 	case RoleCompanion:
 		s.checkControls(faults)
 		s.Companion.check(faults)
@@ -109,33 +112,33 @@
 
 func (s *Settings) checkControls(faults *strictjson.Faults) {
 	if len(s.Controls) == 0 {
-		faults.Add("$.controls", "must name at least one control instance")
+		faults.Add("controls", "must name at least one control instance")
 	}
 	for i, control := range s.Controls {
-		address(faults, indexed("$.controls", i), control)
+		address(faults, indexed("controls", i), control)
 	}
 }
 
 func (c *Companion) check(faults *strictjson.Faults) {
-	required(faults, "$.companion.service", string(c.Service))
-	address(faults, "$.companion.backendServer", c.BackendServer)
-	address(faults, "$.companion.packets", c.Packets)
-	address(faults, "$.companion.rpc", c.RPC)
-	address(faults, "$.companion.fabricReturn", c.FabricReturn)
+	required(faults, "companion.service", string(c.Service))
+	address(faults, "companion.backendServer", c.BackendServer)
+	address(faults, "companion.packets", c.Packets)
+	address(faults, "companion.rpc", c.RPC)
+	address(faults, "companion.fabricReturn", c.FabricReturn)
 	if c.Capacity.Connections < 1 {
-		faults.Add("$.companion.capacity.connections", "must be at least 1")
+		faults.Add("companion.capacity.connections", "must be at least 1")
 	}
 	if c.Capacity.Slots < 1 {
-		faults.Add("$.companion.capacity.slots", "must be at least 1")
+		faults.Add("companion.capacity.slots", "must be at least 1")
 	}
 }
 
 func (c *Control) check(self core.InstanceID, faults *strictjson.Faults) {
-	address(faults, "$.control.rpc", c.RPC)
-	address(faults, "$.control.operators", c.Operators)
-	required(faults, "$.control.dataFolder", c.DataFolder)
+	address(faults, "control.rpc", c.RPC)
+	address(faults, "control.operators", c.Operators)
+	required(faults, "control.dataFolder", c.DataFolder)
 	if len(c.Members) == 0 {
-		faults.Add("$.control.members", "must list the control instances, this one included")
+		faults.Add("control.members", "must list the control instances, this one included")
 		return
 	}
 	c.checkMembers(self, faults)
@@ -144,7 +147,7 @@
 func (c *Control) checkMembers(self core.InstanceID, faults *strictjson.Faults) {
 	seen := make(map[core.InstanceID]bool)
 	for i, member := range c.Members {
-		path := indexed("$.control.members", i)
+		path := indexed("control.members", i)
 		required(faults, path+".instance", string(member.Instance))
 		address(faults, path+".rpc", member.RPC)
 		if seen[member.Instance] {
@@ -153,7 +156,7 @@
 		seen[member.Instance] = true
 	}
 	if !seen[self] {
-		faults.Add("$.control.members", "must include this instance, %q", self)
+		faults.Add("control.members", "must include this instance, %q", self)
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,12 +32,12 @@
 	Instance   core.InstanceID `json:"instance"`
 	DataCentre core.DataCentre `json:"dataCentre"`
 	// Status is the TCP address that serves metrics as JSON. Empty: none.
-	Status netip.AddrPort `json:"status"`
+	Status netip.AddrPort `json:"status,omitempty"`
 	// StopDeadline is how long a graceful stop may take.
-	StopDeadline strictjson.Duration `json:"stopDeadline"`
-	Log          Log                 `json:"log"`
+	StopDeadline strictjson.Duration `json:"stopDeadline,omitempty"`
+	Log          Log                 `json:"log,omitempty"`
 	// Controls lists the RPC addresses of the control instances.
-	Controls  []netip.AddrPort `json:"controls"`
+	Controls  []netip.AddrPort `json:"controls,omitempty"`
 	Entry     *Entry           `json:"entry,omitempty"`
 	Companion *Companion       `json:"companion,omitempty"`
 	Control   *Control         `json:"control,omitempty"`
@@ -46,9 +46,9 @@
 // Log says what is logged and how.
 type Log struct {
 	// Level is "debug", "info", "warn" or "error".
-	Level string `json:"level"`
+	Level string `json:"level,omitempty"`
 	// Format is "text" or "json".
-	Format string `json:"format"`
+	Format string `json:"format,omitempty"`
 }
 
 // Entry is the part of the settings that an entry instance needs.
@@ -93,7 +93,7 @@
 	Members []Member `json:"members"`
 	// InitialConfiguration is a file with the configuration document that a
 	// new group starts with. Empty: an empty document.
-	InitialConfiguration string `json:"initialConfiguration"`
+	InitialConfiguration string `json:"initialConfiguration,omitempty"`
 }
 
 // Member is one control instance of a new group.
