--- a/core/table.go
+++ b/core/table.go
@@ -1,13 +1,13 @@
 package core
 
-// MaxChain is the most candidates in one chain: the owner, the second choice
+// MaxChain is the most candidates in one chain: the owner, the further choices
 // and the earlier owners that may still have flows of the bucket.
 const MaxChain = 6
 
 // Chain lists the backend servers that may hold a flow of a bucket, in the
-// order in which a packet visits them. Element 0 is the owner, element 1 the
-// second choice, later ones are earlier owners. A chain is never modified
-// after it is published.
+// order in which a packet visits them. Element 0 is the owner, the others below
+// Choices are further choices, later ones are earlier owners. A chain is never
+// modified after it is published.
 type Chain []BackendServerID
 
 // Table maps the buckets of one service to candidate chains. Many buckets
@@ -26,3 +26,10 @@
 func (t *Table) Chain(bucket uint32) Chain {
 	return t.Chains[t.Buckets[bucket]]
 }
+
+// Choices is how many leading candidates of a chain may take new flows: the
+// owner and the choices after it. Later candidates are earlier owners. Where
+// fewer backend servers may take new flows, the chain has fewer choices, and
+// all earlier owners in it are draining, without share or taken out, so that
+// their own state keeps them from taking new flows.
+const Choices = 3
--- /dev/null
+++ b/flow/forwarding.go
@@ -0,0 +1,166 @@
+package flow
+
+import (
+	"net/netip"
+
+	"zinniapulley.dev/core"
+)
+
+// Hop is one candidate of a compiled chain.
+type Hop struct {
+	BackendServer core.BackendServerID
+	// Packets is the UDP address of the backend server's companion.
+	Packets netip.AddrPort
+	// Choice is whether the candidate may take new flows of the bucket.
+	Choice bool
+}
+
+// Route says where a packet goes. Hops is shared and must not be modified.
+type Route struct {
+	Service  core.ServiceID
+	Revision core.Revision
+	Bucket   uint32
+	// Hops lists the candidates in the order in which the packet visits them.
+	Hops []Hop
+}
+
+// Forwarding is a view compiled for lookups. It is immutable, so that traffic
+// goroutines share it without locks.
+type Forwarding struct {
+	revision  core.Revision
+	seed      uint64
+	byAddress map[netip.AddrPort]*serviceRoutes
+	byID      map[core.ServiceID]*serviceRoutes
+}
+
+// serviceRoutes holds the compiled table of one service.
+type serviceRoutes struct {
+	service core.Service
+	buckets []uint16
+	chains  [][]Hop
+}
+
+// Compile returns the forwarding of a view. Candidates that are unknown, lost
+// or in a data centre that is out are left out of the chains.
+func Compile(view *core.View) *Forwarding {
+	hops := reachableHops(view)
+	f := &Forwarding{
+		revision:  view.Revision,
+		seed:      view.HashSeed,
+		byAddress: make(map[netip.AddrPort]*serviceRoutes, len(view.Services)),
+		byID:      make(map[core.ServiceID]*serviceRoutes, len(view.Services)),
+	}
+	for _, service := range view.Services {
+		routes := &serviceRoutes{service: service}
+		f.byAddress[service.Address] = routes
+		f.byID[service.ID] = routes
+	}
+	for i := range view.Tables {
+		table := &view.Tables[i]
+		routes, known := f.byID[table.Service]
+		if !known {
+			continue
+		}
+		routes.buckets = table.Buckets
+		routes.chains = compileChains(table, hops)
+	}
+	return f
+}
+
+// hopKey finds a candidate of a service, so that a chain that names a backend
+// server of another service can't lead a packet there.
+type hopKey struct {
+	service core.ServiceID
+	backend core.BackendServerID
+}
+
+func reachableHops(view *core.View) map[hopKey]Hop {
+	in := make(map[core.DataCentre]bool, len(view.DataCentres))
+	for _, dc := range view.DataCentres {
+		in[dc.Name] = dc.In
+	}
+	hops := make(map[hopKey]Hop, len(view.BackendServers))
+	for i := range view.BackendServers {
+		server := &view.BackendServers[i]
+		if !in[server.DataCentre] || server.State == core.BackendLost {
+			continue
+		}
+		key := hopKey{service: server.Service, backend: server.ID}
+		hops[key] = Hop{BackendServer: server.ID, Packets: server.Packets}
+	}
+	return hops
+}
+
+func compileChains(table *core.Table, hops map[hopKey]Hop) [][]Hop {
+	chains := make([][]Hop, len(table.Chains))
+	for i, chain := range table.Chains {
+		compiled := make([]Hop, 0, len(chain))
+		for position, id := range chain {
+			hop, reachable := hops[hopKey{service: table.Service, backend: id}]
+			hop.Choice = position < core.Choices
+			if reachable {
+				compiled = append(compiled, hop)
+			}
+		}
+		chains[i] = compiled
+	}
+	return chains
+}
+
+// Revision returns the revision of the view.
+func (f *Forwarding) Revision() core.Revision {
+	return f.revision
+}
+
+// Lookup returns the route of a packet, or the reason why there is none. It
+// allocates nothing.
+func (f *Forwarding) Lookup(key core.FlowKey) (Route, DropReason) {
+	if !key.Caller.Addr().Is4() {
+		return Route{}, DropNotIPv4
+	}
+	routes, known := f.byAddress[key.Service]
+	if !known {
+		return Route{}, DropUnknownService
+	}
+	if len(routes.buckets) == 0 {
+		return Route{Service: routes.service.ID, Revision: f.revision}, DropNoCandidate
+	}
+	bucket := Bucket(Hash(f.seed, key), len(routes.buckets))
+	route := Route{
+		Service:  routes.service.ID,
+		Revision: f.revision,
+		Bucket:   bucket,
+		Hops:     routes.chains[routes.buckets[bucket]],
+	}
+	if len(route.Hops) == 0 {
+		return route, DropNoCandidate
+	}
+	return route, DropNone
+}
+
+// Service returns the service with the ID, and false if there is none.
+func (f *Forwarding) Service(id core.ServiceID) (core.Service, bool) {
+	routes, known := f.byID[id]
+	if !known {
+		return core.Service{}, false
+	}
+	return routes.service, true
+}
+
+// BucketCount returns the number of buckets of a service, zero if it has none.
+func (f *Forwarding) BucketCount(id core.ServiceID) int {
+	routes, known := f.byID[id]
+	if !known {
+		return 0
+	}
+	return len(routes.buckets)
+}
+
+// bucketHops returns the compiled chain of one bucket of a service.
+func (f *Forwarding) bucketHops(id core.ServiceID, bucket uint32) []Hop {
+	routes, known := f.byID[id]
+	if !known || int(bucket) >= len(routes.buckets) {
+		return nil
+	}
+	return routes.chains[routes.buckets[bucket]]
+}
--- /dev/null
+++ b/placement/weight.go
@@ -0,0 +1,112 @@
+package placement
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"zinniapulley.dev/core"
+)
+
+// weightedServer is a backend server that may take new flows.
+type weightedServer struct {
+	id         core.BackendServerID
+	dataCentre core.DataCentre
+	weight     int64
+}
+
+// apportion divides the buckets over the servers by weight, by the method of
+// largest remainders; ties go to the earlier server. It returns one quota for
+// each server.
+func apportion(servers []weightedServer, buckets int) []int {
+	total := totalWeight(servers)
+	quotas := make([]int, len(servers))
+	if total == 0 {
+		return quotas
+	}
+	remainders := make([]int64, len(servers))
+	left := buckets
+	for i, server := range servers {
+		exact := server.weight * int64(buckets)
+		quotas[i] = int(exact / total)
+		remainders[i] = exact % total
+		left -= quotas[i]
+	}
+	order := make([]int, len(servers))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(remainders[b], remainders[a]) })
+	for _, i := range order[:left] {
+		quotas[i]++
+	}
+	return quotas
+}
+
+func totalWeight(servers []weightedServer) int64 {
+	total := int64(0)
+	for _, server := range servers {
+		total += server.weight
+	}
+	return total
+}
+
+// topUp appends choices to a chain that holds only choices until it has
+// core.Choices of them or all servers. Each is drawn by weight, with the
+// service and the bucket as seed; the second choice is in another data centre
+// than the owner where there is one.
+func topUp(service core.ServiceID, bucket uint32, chain core.Chain, servers []weightedServer) core.Chain {
+	random := rand.New(rand.NewPCG(uint64(service), uint64(bucket)))
+	for len(chain) < core.Choices {
+		others := notIn(servers, chain)
+		if len(others) == 0 {
+			break
+		}
+		if len(chain) == 1 {
+			others = elsewhere(others, chain[0], servers)
+		}
+		chain = append(chain, draw(random, others))
+	}
+	return chain
+}
+
+func notIn(servers []weightedServer, chain core.Chain) []weightedServer {
+	var others []weightedServer
+	for _, server := range servers {
+		if !slices.Contains(chain, server.id) {
+			others = append(others, server)
+		}
+	}
+	return others
+}
+
+// elsewhere keeps the servers outside the owner's data centre, or all of them
+// if there is none.
+func elsewhere(others []weightedServer, owner core.BackendServerID, servers []weightedServer) []weightedServer {
+	at := slices.IndexFunc(servers, func(s weightedServer) bool { return s.id == owner })
+	if at < 0 {
+		return others
+	}
+	var kept []weightedServer
+	for _, server := range others {
+		if server.dataCentre != servers[at].dataCentre {
+			kept = append(kept, server)
+		}
+	}
+	if len(kept) == 0 {
+		return others
+	}
+	return kept
+}
+
+// draw picks one server at random by weight.
+func draw(random *rand.Rand, servers []weightedServer) core.BackendServerID {
+	point := random.Int64N(totalWeight(servers))
+	for _, server := range servers {
+		point -= server.weight
+		if point < 0 {
+			return server.id
+		}
+	}
+	return servers[len(servers)-1].id
+}
