--- /dev/null
+++ b/cmd/zinniapulley/check.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/juju/errors"
+	"zinniapulley.dev/config"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/core/strictjson"
+	"zinniapulley.dev/settings"
+)
+
+// checkCommand checks a file without running anything.
+type checkCommand struct {
+	File string `arg:"" type:"existingfile" help:"Settings file or configuration document (JSON)."`
+	JSON bool   `name:"json" help:"Print the faults as JSON."`
+}
+
+// checkReport is what check prints with --json.
+type checkReport struct {
+	File   string             `json:"file"`
+	Kind   string             `json:"kind"`
+	OK     bool               `json:"ok"`
+	Faults []strictjson.Fault `json:"faults"`
+}
+
+// Run checks the file and lists every fault with its JSON path. Its exit
+// status is 0 only for a file without faults.
+func (c *checkCommand) Run() error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return core.At("read", core.Peer(c.File), err)
+	}
+	kind, err := checkDocument(data)
+	var faults strictjson.Faults
+	if err != nil && !errors.As(err, &faults) {
+		return err
+	}
+	report := checkReport{File: c.File, Kind: kind, OK: err == nil, Faults: faults}
+	c.print(report)
+	if err != nil {
+		os.Exit(exitFault)
+	}
+	return nil
+}
+
+func (c *checkCommand) print(report checkReport) {
+	if c.JSON {
+		_ = json.NewEncoder(os.Stdout).Encode(report)
+		return
+	}
+	if report.OK {
+		fmt.Printf("%s: %s without faults\n", report.File, report.Kind)
+		return
+	}
+	fmt.Printf("%s: %s with %d faults\n", report.File, report.Kind, len(report.Faults))
+	for _, fault := range report.Faults {
+		fmt.Printf("  %s\n", fault)
+	}
+}
+
+// checkDocument checks a settings file if the document names a role, and a
+// configuration document otherwise.
+func checkDocument(data []byte) (string, error) {
+	var probe struct {
+		Role *json.RawMessage `json:"role"`
+	}
+	err := json.Unmarshal(data, &probe)
+	if err == nil && probe.Role != nil {
+		_, err = settings.Parse(data)
+		return "settings", err
+	}
+	_, err = config.Parse(data)
+	return "configuration", err
+}
--- /dev/null
+++ b/cmd/zinniapulley/serve.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/settings"
+)
+
+// errCut reports that a stop could not wait for everything to end.
+const errCut = errors.ConstError("stopped before all work had ended")
+
+// serve runs the role until a signal asks it to stop. A second signal, or the
+// stop deadline, ends the process at once.
+func serve(p process, r role) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ended := make(chan error, 1)
+	stopStatus, err := serveStatus(p)
+	if err != nil {
+		return err
+	}
+	defer stopStatus()
+	p.log.Info("started", "role", p.settings.Role, "instance", p.settings.Instance, "dataCentre", p.settings.DataCentre)
+	go func() { ended <- r.Run(ctx) }()
+	select {
+	case err := <-ended:
+		return err
+	case received := <-signals:
+		p.log.Info("stopping", "signal", received.String(), "deadline", time.Duration(p.settings.StopDeadline))
+	}
+	cancel()
+	return awaitEnd(p, ended, signals)
+}
+
+// awaitEnd waits for the role to end, for a second signal or the deadline.
+func awaitEnd(p process, ended <-chan error, signals <-chan os.Signal) error {
+	deadline := time.NewTimer(time.Duration(p.settings.StopDeadline))
+	defer deadline.Stop()
+	select {
+	case err := <-ended:
+		p.log.Info("stopped", "error", err)
+		return err
+	case received := <-signals:
+		return core.At("stop on second "+core.Step(received.String()), core.Peer(p.settings.Instance), errCut)
+	case <-deadline.C:
+		return core.At("stop at the deadline", core.Peer(p.settings.Instance), errCut)
+	}
+}
+
+// newLogger returns the logger that the settings ask for.
+func newLogger(out io.Writer, s *settings.Settings) (*slog.Logger, error) {
+	var level slog.Level
+	err := level.UnmarshalText([]byte(s.Log.Level))
+	if err != nil {
+		return nil, core.At("set log level", core.Peer(s.Instance), err)
+	}
+	options := &slog.HandlerOptions{Level: level}
+	if s.Log.Format == "json" {
+		return slog.New(slog.NewJSONHandler(out, options)), nil
+	}
+	return slog.New(slog.NewTextHandler(out, options)), nil
+}
+
+// statusReadTimeout bounds how long a client may take to send its request.
+const statusReadTimeout = 5 * time.Second
+
+// serveStatus serves the metrics as JSON at the status address, if there is
+// one, until the returned function is called.
+func serveStatus(p process) (func(), error) {
+	if !p.settings.Status.IsValid() {
+		return func() {}, nil
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(p.metrics)
+	})
+	server := &http.Server{Addr: p.settings.Status.String(), Handler: mux, ReadTimeout: statusReadTimeout}
+	listener, err := net.Listen("tcp4", server.Addr)
+	if err != nil {
+		return nil, core.At("listen for status", core.Peer(server.Addr), err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	return func() { _ = server.Close() }, nil
+}
--- a/core/table.go
+++ b/core/table.go
@@ -4,6 +4,10 @@
 // and the earlier owners that may still have flows of the bucket.
 const MaxChain = 6
 
+// MaxHops is the longest candidate list that a packet may carry: the hops of
+// one chain already visited, and those of a newer chain still to be visited.
+const MaxHops = 2 * MaxChain
+
 // Chain lists the backend servers that may hold a flow of a bucket, in the
 // order in which a packet visits them. Element 0 is the owner, the others below
 // Choices are further choices, later ones are earlier owners. A chain is never
--- /dev/null
+++ b/demo/bench.go
@@ -0,0 +1,288 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"zinniapulley.dev/companion"
+	"zinniapulley.dev/config"
+	"zinniapulley.dev/control"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/entry"
+	"zinniapulley.dev/examples"
+	"zinniapulley.dev/settings"
+	"zinniapulley.dev/standin/caller"
+	"zinniapulley.dev/standin/fabric"
+	"zinniapulley.dev/wire"
+)
+
+// anyPort is a loopback address with a port of the kernel's choice.
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// firstCaller is the address of the first caller. It is from a range for
+// documentation and exists only inside the stand-ins' packets.
+var firstCaller = netip.MustParseAddr("198.51.100.1")
+
+// bench is a running deployment with its stand-ins.
+type bench struct {
+	options     Options
+	document    config.Document
+	dataCentres []core.DataCentre
+	control     *control.Server
+	backends    []*backend
+	fabric      *fabric.Fabric
+	callers     *caller.Stack
+	running     sync.WaitGroup
+	cancel      context.CancelFunc
+}
+
+// start runs every process of the example in this one.
+func start(ctx context.Context, options Options) (*bench, error) {
+	deployment, err := examples.Load(options.Example)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	document, err := config.Parse(deployment.Configuration)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	b := &bench{options: options, document: document, cancel: cancel}
+	for name := range document.DataCentres {
+		b.dataCentres = append(b.dataCentres, name)
+	}
+	slices.Sort(b.dataCentres)
+	err = b.startAll(ctx, deployment)
+	if err != nil {
+		b.stop()
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *bench) startAll(ctx context.Context, deployment examples.Deployment) error {
+	var err error
+	b.fabric, err = fabric.New(fabric.Options{Seed: b.options.Seed})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	b.callers, err = caller.New(b.fabric.Send)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	b.fabric.Attach(firstCaller, b.callers.Deliver)
+	err = b.startControl(ctx, deployment.Configuration)
+	if err != nil {
+		return err
+	}
+	for _, data := range deployment.Settings {
+		err = b.startRole(ctx, data)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *bench) startControl(ctx context.Context, document []byte) error {
+	server, err := control.New(control.Config{
+		Instance:             "control-1",
+		RPC:                  anyPort,
+		HashSeed:             b.options.Seed,
+		InitialConfiguration: document,
+		Log:                  b.options.Log,
+	})
+	if err != nil {
+		return err
+	}
+	b.control = server
+	b.run(ctx, server)
+	return nil
+}
+
+// startRole starts the entry instance or companion of one settings document,
+// at loopback ports of the kernel's choice.
+func (b *bench) startRole(ctx context.Context, data []byte) error {
+	parsed, err := settings.Parse(data)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	switch parsed.Role {
+	case settings.RoleEntry:
+		return b.startEntry(ctx, parsed)
+	case settings.RoleCompanion:
+		return b.startCompanion(ctx, parsed)
+	default:
+		return nil
+	}
+}
+
+func (b *bench) startEntry(ctx context.Context, s *settings.Settings) error {
+	server, err := entry.New(entry.Config{
+		Instance:   s.Instance,
+		DataCentre: s.DataCentre,
+		Packets:    anyPort,
+		Controls:   []netip.AddrPort{b.control.RPC()},
+		Log:        b.options.Log,
+		Metrics:    metrics.NewRegistry(),
+	})
+	if err != nil {
+		return err
+	}
+	b.fabric.AddEntry(server.Packets())
+	b.run(ctx, server)
+	return nil
+}
+
+func (b *bench) startCompanion(ctx context.Context, s *settings.Settings) error {
+	server, err := newBackend(s.Companion.Service, s.DataCentre, s.Instance)
+	if err != nil {
+		return err
+	}
+	b.backends = append(b.backends, server)
+	beside, err := companion.New(companion.Config{
+		Instance:      s.Instance,
+		DataCentre:    s.DataCentre,
+		Service:       s.Companion.Service,
+		BackendServer: server.listener.Addr().(*net.TCPAddr).AddrPort(),
+		Packets:       anyPort,
+		FabricReturn:  b.fabric.Return(),
+		Capacity:      core.Capacity{Connections: s.Companion.Capacity.Connections, Slots: s.Companion.Capacity.Slots},
+		Controls:      []netip.AddrPort{b.control.RPC()},
+		Log:           b.options.Log,
+		Metrics:       metrics.NewRegistry(),
+	})
+	if err != nil {
+		return err
+	}
+	b.run(ctx, beside)
+	return nil
+}
+
+// runner is a running role.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+func (b *bench) run(ctx context.Context, r runner) {
+	b.running.Go(func() {
+		err := r.Run(ctx)
+		if err != nil {
+			b.options.Log.Error("role ended", "error", err)
+		}
+	})
+}
+
+// stop ends every role and stand-in.
+func (b *bench) stop() {
+	b.cancel()
+	b.running.Wait()
+	for _, server := range b.backends {
+		_ = server.listener.Close()
+	}
+	if b.callers != nil {
+		b.callers.Close()
+	}
+	if b.fabric != nil {
+		_ = b.fabric.Close()
+	}
+}
+
+func (b *bench) say(format string, args ...any) {
+	if b.options.Progress != nil {
+		_, _ = fmt.Fprintf(b.options.Progress, format+"\n", args...)
+	}
+}
+
+// registered returns how many backend servers the newest view serves. It waits
+// a little for a view when there is none yet.
+func (b *bench) registered(ctx context.Context) (int, error) {
+	client := wire.NewClient(b.control.RPC())
+	defer client.Close()
+	var reply wire.WatchReply
+	err := client.Call(ctx, wire.MethodWatch, &wire.WatchRequest{Instance: "demo"}, &reply)
+	if err != nil || reply.View == nil {
+		return 0, err
+	}
+	return len(reply.View.BackendServers), sleep(ctx, 50*time.Millisecond)
+}
+
+// setDataCentre submits the configuration with the data centre in or out.
+func (b *bench) setDataCentre(ctx context.Context, name core.DataCentre, in bool) error {
+	state := config.Out
+	if in {
+		state = config.In
+	}
+	dataCentre := b.document.DataCentres[name]
+	dataCentre.State = state
+	b.document.DataCentres[name] = dataCentre
+	data, err := json.Marshal(b.document)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	result, err := b.control.Configure(ctx, data)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(result.Refusal)
+}
+
+// openFlows opens count flows, spread over the services by their backend
+// servers.
+func (b *bench) openFlows(ctx context.Context, count int) []*session {
+	sessions := make([]*session, count)
+	var opening sync.WaitGroup
+	for i := range count {
+		service := b.backends[i%len(b.backends)].service
+		address := b.document.Services[service].Address
+		opening.Go(func() {
+			sessions[i] = open(ctx, service, func(ctx context.Context) (net.Conn, error) {
+				return b.callers.Dial(ctx, firstCaller, address)
+			})
+		})
+	}
+	opening.Wait()
+	return sessions
+}
+
+// imbalance returns the highest ratio, over the services, of the most flows of
+// a backend server to the mean. All backend servers of a service bear alike.
+func (b *bench) imbalance(sessions []*session) float64 {
+	perInstance := make(map[core.InstanceID]int)
+	perService := make(map[core.ServiceName]int)
+	for _, s := range sessions {
+		perInstance[s.end.instance]++
+		perService[s.service]++
+	}
+	servers := make(map[core.ServiceName]int)
+	for _, server := range b.backends {
+		servers[server.service]++
+	}
+	worst := 0.0
+	for _, server := range b.backends {
+		mean := float64(perService[server.service]) / float64(servers[server.service])
+		if mean > 0 {
+			worst = max(worst, float64(perInstance[server.instance])/mean)
+		}
+	}
+	return worst
+}
+
+// lastPacket returns when a backend server of the data centre last got a byte.
+func (b *bench) lastPacket(name core.DataCentre) time.Time {
+	var last int64
+	for _, server := range b.backends {
+		if server.dataCentre == name {
+			last = max(last, server.lastByte.Load())
+		}
+	}
+	return time.Unix(0, last)
+}
--- /dev/null
+++ b/demo/report.go
@@ -0,0 +1,111 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"zinniapulley.dev/core"
+)
+
+// Report is what a run gave, as callers and backend servers saw it.
+type Report struct {
+	Example string `json:"example"`
+	// Opened counts the flows that callers asked for, Refused those that were
+	// not opened.
+	Opened  int `json:"flowsOpened"`
+	Refused int `json:"flowsRefused"`
+	// Kept counts the flows that still answered at the end.
+	Kept int `json:"flowsKept"`
+	// GivenUp counts the flows that ended in the data centre taken out.
+	GivenUp int `json:"flowsGivenUp"`
+	// Broken counts the other flows that ended, by cause.
+	Broken []BrokenFlows `json:"flowsBroken"`
+	// WrongService counts flows that another service answered.
+	WrongService int `json:"wrongServicePackets"`
+	// Imbalance is, before the change, the highest number of flows over the
+	// mean of its service's backend servers, relative to their capacity.
+	Imbalance float64 `json:"imbalance"`
+	// DataCentre is the one taken out, LastPacketSeconds the time from the
+	// order to its last packet.
+	DataCentre        core.DataCentre `json:"dataCentreOut"`
+	LastPacketSeconds float64         `json:"lastPacketSeconds"`
+	// Returned counts the flows opened in the data centre after its return.
+	Returned int `json:"flowsAfterReturn"`
+}
+
+// BrokenFlows counts broken flows of one cause.
+type BrokenFlows struct {
+	Cause string `json:"cause"`
+	Flows int    `json:"flows"`
+}
+
+// BrokenTotal returns the number of broken flows of all causes.
+func (r Report) BrokenTotal() int {
+	total := 0
+	for _, broken := range r.Broken {
+		total += broken.Flows
+	}
+	return total
+}
+
+// Print writes the report for people.
+func (r Report) Print(out io.Writer) {
+	line := func(name string, value any) { _, _ = fmt.Fprintf(out, "%-34s %v\n", name, value) }
+	line("example", r.Example)
+	line("flows opened", r.Opened)
+	line("flows kept", r.Kept)
+	line("flows refused", r.Refused)
+	line("flows given up with "+string(r.DataCentre), r.GivenUp)
+	line("flows broken", r.BrokenTotal())
+	for _, broken := range r.Broken {
+		line("  by "+broken.Cause, broken.Flows)
+	}
+	line("wrong-service packets", r.WrongService)
+	line("imbalance (max over mean)", fmt.Sprintf("%.2f", r.Imbalance))
+	line("seconds to the last packet at "+string(r.DataCentre), fmt.Sprintf("%.2f", r.LastPacketSeconds))
+	line("flows in "+string(r.DataCentre)+" after its return", r.Returned)
+}
+
+func (b *bench) report(out core.DataCentre, lastPacket time.Duration, imbalance float64, groups ...[]*session) Report {
+	r := Report{
+		Example:           b.options.Example,
+		Imbalance:         imbalance,
+		DataCentre:        out,
+		LastPacketSeconds: max(0, lastPacket.Seconds()),
+	}
+	causes := make(map[string]int)
+	for i, sessions := range groups {
+		for _, s := range sessions {
+			end := s.close()
+			r.count(end, out, causes)
+			if i == len(groups)-1 && end.dataCentre == out {
+				r.Returned++
+			}
+		}
+	}
+	for cause, flows := range causes {
+		r.Broken = append(r.Broken, BrokenFlows{Cause: cause, Flows: flows})
+	}
+	slices.SortFunc(r.Broken, func(a, b BrokenFlows) int { return b.Flows - a.Flows })
+	return r
+}
+
+// count adds one flow's end to the report.
+func (r *Report) count(end sessionEnd, out core.DataCentre, causes map[string]int) {
+	r.Opened++
+	if end.wrongService {
+		r.WrongService++
+	}
+	switch {
+	case end.refused:
+		r.Refused++
+	case end.err == nil:
+		r.Kept++
+	case end.dataCentre == out:
+		r.GivenUp++
+	default:
+		causes[end.err.Error()]++
+	}
+}
--- a/flow/event.go
+++ b/flow/event.go
@@ -30,7 +30,7 @@
 
 // MaxHops is the longest candidate list that a packet may carry: the hops of
 // one chain already visited, and those of a newer chain still to be visited.
-const MaxHops = 2 * core.MaxChain
+const MaxHops = core.MaxHops
 
 // Event is what an Owner handles: *Packet, SynAckSent, FlowClosed, ViewChanged,
 // LimitChanged, Confirmed or DeadlinePassed.
--- a/wire/geneve/encode.go
+++ b/wire/geneve/encode.go
@@ -89,7 +89,7 @@
 }
 
 func hopsValid(envelope *Envelope) bool {
-	if envelope.HopCount > core.MaxChain || envelope.HopIndex >= envelope.HopCount {
+	if envelope.HopCount > core.MaxHops || envelope.HopIndex >= envelope.HopCount {
 		return false
 	}
 	if envelope.Entry.IsValid() && !isIPv4(envelope.Entry) {
--- a/wire/geneve/geneve.go
+++ b/wire/geneve/geneve.go
@@ -67,7 +67,7 @@
 	// HopCount is the number of elements of Hops that are in use.
 	HopCount uint8
 	// Hops holds the IPv4 UDP addresses of the candidate companions.
-	Hops [core.MaxChain]netip.AddrPort
+	Hops [core.MaxHops]netip.AddrPort
 	// Entry is the UDP address of the entry instance that first routed the
 	// packet. It is the zero value if there is none.
 	Entry netip.AddrPort
--- a/wire/geneve/route.go
+++ b/wire/geneve/route.go
@@ -15,7 +15,7 @@
 	entryAt      = 12
 	hopsAt       = entryAt + addrPortLen
 	addrPortLen  = 8
-	maxRouteData = hopsAt + core.MaxChain*addrPortLen
+	maxRouteData = hopsAt + core.MaxHops*addrPortLen
 )
 
 // putRoute writes the route option's data and returns its length in bytes.
@@ -41,7 +41,7 @@
 	e.Revision = core.Revision(binary.BigEndian.Uint64(data))
 	e.HopIndex = data[hopIndexAt]
 	e.HopCount = data[hopCountAt]
-	if e.HopCount > core.MaxChain || e.HopIndex >= e.HopCount {
+	if e.HopCount > core.MaxHops || e.HopIndex >= e.HopCount {
 		return DropRouteOption
 	}
 	if len(data) != hopsAt+int(e.HopCount)*addrPortLen {
