Terminate callers' flows and relay them to a backend server

Cause: the thin path needs a companion's side of callers' TCP flows, and stand-ins for callers, the fabric and backend servers.

Change: relay holds the narrow Terminator interface and Splice, which relays bytes with half-close and reset and gives a typed cause of the end. relay/tcpstack implements it on the TCP stack library: packets in by a call, out by a callback; Closed is told once for each new flow taken. standin/caller, standin/fabric and standin/echo work on loopback only.

--- /dev/null
+++ b/standin/caller/caller.go
@@ -0,0 +1,93 @@
+// Package caller is a stand-in for callers: a TCP stack of its own, whose
+// packets go to a fabric.
+package caller
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/juju/errors"
+	"gvisor.dev/gvisor/pkg/tcpip"
+	"gvisor.dev/gvisor/pkg/tcpip/adapters/gonet"
+	"gvisor.dev/gvisor/pkg/tcpip/network/ipv4"
+	"gvisor.dev/gvisor/pkg/tcpip/stack"
+	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/relay/tcpstack"
+)
+
+// Stack is the TCP stack of any number of callers.
+type Stack struct {
+	link *tcpstack.Link
+}
+
+// Conn is a caller's side of a flow.
+type Conn struct {
+	*gonet.TCPConn
+	key  core.FlowKey
+	link *tcpstack.Link
+}
+
+// New returns a stack whose packets go to send, called by one goroutine with a
+// packet that is valid during the call.
+func New(send func(packet []byte)) (*Stack, error) {
+	link, err := tcpstack.NewLink(tcpstack.DefaultMTU, send)
+	if err != nil {
+		return nil, core.At("start caller", "", err)
+	}
+	return &Stack{link: link}, nil
+}
+
+// Deliver gives the callers an IPv4 packet, which it copies.
+func (s *Stack) Deliver(packet []byte) {
+	s.link.Deliver(packet)
+}
+
+// Dial opens a flow from the caller's address to the service.
+func (s *Stack) Dial(ctx context.Context, caller netip.Addr, service netip.AddrPort) (*Conn, error) {
+	return s.DialFrom(ctx, netip.AddrPortFrom(caller, 0), service)
+}
+
+// DialFrom opens a flow from the caller's address and port to the service. Port
+// zero stands for any.
+func (s *Stack) DialFrom(ctx context.Context, caller, service netip.AddrPort) (*Conn, error) {
+	conn, err := gonet.DialTCPWithBind(ctx, s.link.Stack, full(caller), full(service), ipv4.ProtocolNumber)
+	if err != nil {
+		return nil, core.At("open flow", core.Peer(service.String()), err)
+	}
+	local, ok := conn.LocalAddr().(*net.TCPAddr)
+	if !ok {
+		return nil, errors.Errorf("flow to %v has no local address", service)
+	}
+	bound := netip.AddrPortFrom(caller.Addr(), uint16(local.Port))
+	return &Conn{TCPConn: conn, key: core.FlowKey{Caller: bound, Service: service}, link: s.link}, nil
+}
+
+// Close ends all flows without a word to the services.
+func (s *Stack) Close() {
+	s.link.Close()
+}
+
+// Key returns the flow's key.
+func (c *Conn) Key() core.FlowKey {
+	return c.key
+}
+
+// Abort resets the flow.
+func (c *Conn) Abort() {
+	id := stack.TransportEndpointID{
+		LocalAddress:  tcpip.AddrFrom4(c.key.Caller.Addr().As4()),
+		LocalPort:     c.key.Caller.Port(),
+		RemoteAddress: tcpip.AddrFrom4(c.key.Service.Addr().As4()),
+		RemotePort:    c.key.Service.Port(),
+	}
+	endpoint := c.link.Stack.FindTransportEndpoint(ipv4.ProtocolNumber, tcp.ProtocolNumber, id, tcpstack.NIC)
+	if endpoint != nil {
+		endpoint.Abort()
+	}
+}
+
+func full(addr netip.AddrPort) tcpip.FullAddress {
+	return tcpip.FullAddress{NIC: tcpstack.NIC, Addr: tcpip.AddrFrom4(addr.Addr().As4()), Port: addr.Port()}
+}
--- /dev/null
+++ b/standin/echo/echo.go
@@ -0,0 +1,188 @@
+// Package echo is a stand-in for a backend server that sends each connection's
+// bytes back, and records them. It works on loopback only.
+package echo
+
+import (
+	"bytes"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/juju/errors"
+	"zinniapulley.dev/core"
+)
+
+// bufferLen is the size in bytes of a connection's buffer.
+const bufferLen = 16 << 10
+
+// Options sets a Server up.
+type Options struct {
+	// Address is where it listens, on loopback. The zero value stands for any
+	// port of 127.0.0.1.
+	Address netip.AddrPort
+	// Prefix, if not empty, is what every caller of the service sends first.
+	// A connection that begins otherwise was meant for another service.
+	Prefix string
+	// Record keeps at most this many bytes of each connection.
+	Record int
+}
+
+// Record is what the server got over one connection.
+type Record struct {
+	// Bytes is the number of bytes, Head the first of them.
+	Bytes int64
+	Head  []byte
+	// Open says that the connection isn't closed.
+	Open bool
+}
+
+// Server is a running stand-in.
+type Server struct {
+	options  Options
+	listener *net.TCPListener
+	running  sync.WaitGroup
+
+	mu      sync.Mutex
+	conns   map[*net.TCPConn]bool
+	records []Record
+	peak    int
+	closed  bool
+}
+
+// New starts a server. Its errors are those of the TCP socket.
+func New(options Options) (*Server, error) {
+	if !options.Address.IsValid() {
+		options.Address = netip.MustParseAddrPort("127.0.0.1:0")
+	}
+	if !options.Address.Addr().IsLoopback() {
+		return nil, errors.NotValidf("backend server's address %v", options.Address)
+	}
+	listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(options.Address))
+	if err != nil {
+		return nil, core.At("listen", core.Peer(options.Address.String()), err)
+	}
+	s := &Server{options: options, listener: listener, conns: make(map[*net.TCPConn]bool)}
+	s.running.Go(s.accept)
+	return s, nil
+}
+
+// Address returns the address at which the server listens.
+func (s *Server) Address() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Records returns what the server got, by connection in the order of their
+// arrival.
+func (s *Server) Records() []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records := make([]Record, len(s.records))
+	for i, record := range s.records {
+		records[i] = record
+		records[i].Head = bytes.Clone(record.Head)
+	}
+	return records
+}
+
+// Open returns the number of open connections.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Peak returns the most connections that were ever open at once.
+func (s *Server) Peak() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peak
+}
+
+// WrongService returns the number of connections that began with bytes other
+// than the prefix.
+func (s *Server) WrongService() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wrong := 0
+	for _, record := range s.records {
+		length := min(len(record.Head), len(s.options.Prefix))
+		if string(record.Head[:length]) != s.options.Prefix[:length] {
+			wrong++
+		}
+	}
+	return wrong
+}
+
+// Close ends the server and resets its connections.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.running.Wait()
+}
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.listener.AcceptTCP()
+		if err != nil {
+			return
+		}
+		index, ok := s.begin(conn)
+		if !ok {
+			_ = conn.Close()
+			return
+		}
+		s.running.Go(func() { s.serve(conn, index) })
+	}
+}
+
+// begin records a new connection and returns the index of its record.
+func (s *Server) begin(conn *net.TCPConn) (int, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return 0, false
+	}
+	s.conns[conn] = true
+	s.peak = max(s.peak, len(s.conns))
+	s.records = append(s.records, Record{Open: true})
+	return len(s.records) - 1, true
+}
+
+// serve sends a connection's bytes back until it ends.
+func (s *Server) serve(conn *net.TCPConn, index int) {
+	defer s.end(conn, index)
+	buffer := make([]byte, bufferLen)
+	for {
+		n, err := conn.Read(buffer)
+		s.note(index, buffer[:n])
+		_, writeErr := conn.Write(buffer[:n])
+		if err != nil || writeErr != nil {
+			return
+		}
+	}
+}
+
+// note records bytes of a connection.
+func (s *Server) note(index int, data []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record := &s.records[index]
+	record.Bytes += int64(len(data))
+	keep := max(s.options.Record, len(s.options.Prefix))
+	room := min(max(keep-len(record.Head), 0), len(data))
+	record.Head = append(record.Head, data[:room]...)
+}
+
+func (s *Server) end(conn *net.TCPConn, index int) {
+	_ = conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+	s.records[index].Open = false
+}
