--- a/control/server.go
+++ b/control/server.go
@@ -71,20 +71,37 @@
 	return s.rpc.Address()
 }
 
-// Run serves until ctx is done.
+// Run serves until ctx is done. It ends early with an error when a new group's
+// initial configuration is refused.
 func (s *Server) Run(ctx context.Context) error {
-	if len(s.config.InitialConfiguration) > 0 {
-		err := s.loop.Send(ctx, configureEvent{
-			document: s.config.InitialConfiguration,
-			reply:    loop.NewReply[configureAnswer](),
-		})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	configured := make(chan error, 1)
+	go func() {
+		err := s.configureFirst(ctx)
 		if err != nil {
-			return core.At("submit initial configuration", core.Peer(s.config.Instance), err)
+			cancel()
 		}
-	}
+		configured <- err
+	}()
 	go s.rpc.Serve(ctx)
 	s.loop.Run(ctx, s.handler)
-	return nil
+	return <-configured
+}
+
+// configureFirst submits the configuration that a new group starts with.
+func (s *Server) configureFirst(ctx context.Context) error {
+	if len(s.config.InitialConfiguration) == 0 {
+		return nil
+	}
+	result, err := s.Configure(ctx, s.config.InitialConfiguration)
+	if ctx.Err() != nil {
+		return nil
+	}
+	if err == nil {
+		err = result.Refusal
+	}
+	return core.At("submit initial configuration", core.Peer(s.config.Instance), err)
 }
 
 // Configure submits a configuration document.
--- a/core/errors.go
+++ b/core/errors.go
@@ -1,10 +1,6 @@
 package core
 
-import (
-	"fmt"
-
-	"github.com/juju/errors"
-)
+import "fmt"
 
 // Step names what the system was doing when an error arose, for example
 // "dial control" or "decode packet".
@@ -40,5 +36,5 @@
 	if err == nil {
 		return nil
 	}
-	return errors.Trace(&StepError{Step: step, Peer: peer, Cause: err})
+	return &StepError{Step: step, Peer: peer, Cause: err}
 }
--- a/demo/report.go
+++ b/demo/report.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
 	"zinniapulley.dev/core"
 )
 
@@ -106,6 +108,21 @@
 	case end.dataCentre == out:
 		r.GivenUp++
 	default:
-		causes[end.err.Error()]++
+		causes[cause(end.err)]++
+	}
+}
+
+// cause names the error that ended a flow without the flow's own address.
+func cause(err error) string {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, errAnswer):
+		return "wrong answer"
+	case errors.Is(err, io.EOF):
+		return "closed early"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "no answer"
+	default:
+		return "reset"
 	}
 }
--- a/demo/session.go
+++ b/demo/session.go
@@ -20,6 +20,9 @@
 	answerTimeout = 8 * time.Second
 )
 
+// errAnswer reports an answer that differs from what was sent.
+const errAnswer = errors.ConstError("wrong answer")
+
 // sessionEnd is what became of a flow.
 type sessionEnd struct {
 	dataCentre   core.DataCentre
@@ -114,7 +117,7 @@
 		return errors.Trace(err)
 	}
 	if answer != message {
-		return errors.Errorf("sent %q, got back %q", message, answer)
+		return errors.Annotatef(errAnswer, "sent %q, got back %q", message, answer)
 	}
 	return nil
 }
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -142,4 +142,3 @@
 		t.counters.malformed[drop].Inc(1)
 	}
 }
-
