Let tables follow joins, drains, losses and data centres

Cause: a first table alone doesn't outlive the first change of its backend servers.

A member of a chain leaves it only once it is gone or has reported the bucket empty at a revision at which it took no new flow there.

--- a/placement/build.go
+++ b/placement/build.go
@@ -56,7 +56,7 @@
 		var chain core.Chain
 		if len(weighted) > 0 {
 			chain = core.Chain{weighted[owners[bucket]].id}
-			chain = topUp(service, uint32(bucket), chain, weighted)
+			chain = topUp(service, uint32(bucket), chain, weighted, core.Choices)
 		}
 		pool.set(uint32(bucket), chain)
 	}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -69,3 +69,8 @@
 	copy(key[:], chain)
 	return key
 }
+
+// chain returns the chain of a bucket, which must not be modified.
+func (p *chainPool) chain(bucket uint32) core.Chain {
+	return p.chains[p.buckets[bucket]]
+}
--- /dev/null
+++ b/placement/release.go
@@ -0,0 +1,56 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"zinniapulley.dev/core"
+)
+
+// bucketsEmpty takes a backend server out of the chains of buckets in which it
+// has no flow left. The report counts only if the backend server took no new
+// flow of the bucket at the report's revision and at all since.
+func (p *Placement) bucketsEmpty(now time.Time, revision core.Revision, e BucketsEmpty) []Decision {
+	reporter, known := p.servers[e.Server]
+	if !known {
+		return nil
+	}
+	s, known := p.services[reporter.Service]
+	if !known {
+		return nil
+	}
+	var decisions []Decision
+	for _, bucket := range e.Buckets {
+		if !p.released(s, reporter, bucket, e.Revision) {
+			continue
+		}
+		chain := slices.Clone(s.pool.chain(bucket))
+		at := slices.Index(chain, e.Server)
+		s.setChain(bucket, slices.Delete(chain, at, at+1), revision)
+		delete(s.closedSince, place{bucket, e.Server})
+		decisions = append(decisions, Decision{
+			Kind: KindReleased, Reason: ReasonNoFlows, Service: s.id, Bucket: bucket, From: e.Server,
+		})
+	}
+	if len(decisions) == 0 {
+		return nil
+	}
+	return append(decisions, p.settle(now, revision, s)...)
+}
+
+// released reports whether a backend server may leave the chain of a bucket
+// that it reported empty.
+func (p *Placement) released(s *service, reporter *server, bucket uint32, reported core.Revision) bool {
+	if int(bucket) >= len(s.pool.buckets) {
+		return false
+	}
+	at := slices.Index(s.pool.chain(bucket), reporter.ID)
+	if at < 0 {
+		return false
+	}
+	if !reporter.eligible && reported >= reporter.barredSince {
+		return true
+	}
+	since, closed := s.closedSince[place{bucket, reporter.ID}]
+	return at >= core.Choices && closed && reported >= since
+}
--- a/placement/weight.go
+++ b/placement/weight.go
@@ -40,9 +40,32 @@
 	for _, i := range order[:left] {
 		quotas[i]++
 	}
+	return atLeastOne(quotas)
+}
+
+// atLeastOne gives each server without a bucket one of the server with the
+// most, so that a backend server in cold start gets some flows to warm up on.
+func atLeastOne(quotas []int) []int {
+	for i := range quotas {
+		most := largest(quotas)
+		if quotas[i] == 0 && quotas[most] > 1 {
+			quotas[i]++
+			quotas[most]--
+		}
+	}
 	return quotas
 }
 
+func largest(quotas []int) int {
+	most := 0
+	for i, quota := range quotas {
+		if quota > quotas[most] {
+			most = i
+		}
+	}
+	return most
+}
+
 func totalWeight(servers []weightedServer) int64 {
 	total := int64(0)
 	for _, server := range servers {
@@ -52,12 +75,12 @@
 }
 
 // topUp appends choices to a chain that holds only choices until it has
-// core.Choices of them or all servers. Each is drawn by weight, with the
+// core.Choices of them, all servers, or as many as there is room for. Each is drawn by weight, with the
 // service and the bucket as seed; the second choice is in another data centre
 // than the owner where there is one.
-func topUp(service core.ServiceID, bucket uint32, chain core.Chain, servers []weightedServer) core.Chain {
+func topUp(service core.ServiceID, bucket uint32, chain core.Chain, servers []weightedServer, room int) core.Chain {
 	random := rand.New(rand.NewPCG(uint64(service), uint64(bucket)))
-	for len(chain) < core.Choices {
+	for len(chain) < min(core.Choices, room) {
 		others := notIn(servers, chain)
 		if len(others) == 0 {
 			break
