--- a/flow/event.go
+++ b/flow/event.go
@@ -73,10 +73,25 @@
 	Known bool
 	State core.BackendState
 	Share int
-	// DataCentreIn is whether operators have the own data centre in.
+	// DataCentreIn is whether operators have the own data centre in, also when
+	// the backend server is not known.
 	DataCentreIn bool
 }
 
+// SelfIn returns what a view says about a backend server and its data centre.
+func SelfIn(view *core.View, id core.BackendServerID, dc core.DataCentre) Self {
+	self := Self{DataCentreIn: view.DataCentreIn(dc)}
+	for i := range view.BackendServers {
+		server := &view.BackendServers[i]
+		if server.ID == id {
+			self.Known = true
+			self.State = server.State
+			self.Share = server.Share
+		}
+	}
+	return self
+}
+
 // ViewChanged brings a newer view. Older ones are ignored.
 type ViewChanged struct {
 	Forwarding *Forwarding
--- a/flow/lease.go
+++ b/flow/lease.go
@@ -121,3 +121,16 @@
 	age := l.duration - l.until.Sub(now)
 	return Confirmation{Revision: l.revision, In: true, Age: age}, true
 }
+
+// Admit returns why an entry instance drops all packets at the given time, or
+// DropNone.
+func (l *Lease) Admit(now time.Time) DropReason {
+	switch l.Standing(now) {
+	case StandingIn:
+		return DropNone
+	case StandingOut:
+		return DropDataCentreOut
+	default:
+		return DropHeld
+	}
+}
--- a/flow/owner_state.go
+++ b/flow/owner_state.go
@@ -19,7 +19,7 @@
 	o.self = e.Self
 	o.fitBuckets()
 	o.lease.Learn(e.Forwarding.Revision(), e.Self.DataCentreIn)
-	if moved || (e.Self.Known && !e.Self.DataCentreIn) {
+	if moved || !e.Self.DataCentreIn {
 		return o.giveUp()
 	}
 	return Action{}
