Look services up by a packed address

Cause: hashing a netip.AddrPort took a fifth of a lookup.

Change: Forwarding keeps services under the IPv4 address and port packed into one number; a service address that is not IPv4 is no longer reachable, as its packets are dropped anyway.

--- a/flow/forwarding.go
+++ b/flow/forwarding.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"encoding/binary"
 	"net/netip"
 
 	"zinniapulley.dev/core"
@@ -29,10 +30,19 @@
 type Forwarding struct {
 	revision  core.Revision
 	seed      uint64
-	byAddress map[netip.AddrPort]*serviceRoutes
+	byAddress map[endpoint]*serviceRoutes
 	byID      map[core.ServiceID]*serviceRoutes
 }
 
+// endpoint is an IPv4 address and port in one number, which is a much faster
+// key of a map than netip.AddrPort.
+type endpoint uint64
+
+func endpointOf(address netip.AddrPort) endpoint {
+	ip := address.Addr().As4()
+	return endpoint(binary.BigEndian.Uint32(ip[:]))<<16 | endpoint(address.Port())
+}
+
 // serviceRoutes holds the compiled table of one service.
 type serviceRoutes struct {
 	service core.Service
@@ -47,12 +57,14 @@
 	f := &Forwarding{
 		revision:  view.Revision,
 		seed:      view.HashSeed,
-		byAddress: make(map[netip.AddrPort]*serviceRoutes, len(view.Services)),
+		byAddress: make(map[endpoint]*serviceRoutes, len(view.Services)),
 		byID:      make(map[core.ServiceID]*serviceRoutes, len(view.Services)),
 	}
 	for _, service := range view.Services {
 		routes := &serviceRoutes{service: service}
-		f.byAddress[service.Address] = routes
+		if service.Address.Addr().Is4() {
+			f.byAddress[endpointOf(service.Address)] = routes
+		}
 		f.byID[service.ID] = routes
 	}
 	for i := range view.Tables {
@@ -115,10 +127,10 @@
 // Lookup returns the route of a packet, or the reason why there is none. It
 // allocates nothing.
 func (f *Forwarding) Lookup(key core.FlowKey) (Route, DropReason) {
-	if !key.Caller.Addr().Is4() {
+	if !key.Caller.Addr().Is4() || !key.Service.Addr().Is4() {
 		return Route{}, DropNotIPv4
 	}
-	routes, known := f.byAddress[key.Service]
+	routes, known := f.byAddress[endpointOf(key.Service)]
 	if !known {
 		return Route{}, DropUnknownService
 	}
