Cut the limit in each interval that slow answers go on

Cause: TestLatencyJumpCutsAtOnce was red in the commit before: only the third slow answer in a row could cut the limit, and when that fell within a second of an earlier cut, none did until the eighth.

Change: any slow answer from the third on cuts, once in an interval.

Figures: go test ./admission failed in that test before, passes after.

Conclusion: the test had found a real fault.

--- a/admission/ramp.go
+++ b/admission/ramp.go
@@ -240,7 +240,7 @@
 	switch {
 	case r.slowRun >= slowToCold:
 		return r.fallCold(now)
-	case r.slowRun == slowToCut:
+	case r.slowRun >= slowToCut:
 		return r.cut(now, ReasonSlow)
 	default:
 		return 0
