--- /dev/null
+++ b/core/request.go
@@ -0,0 +1,32 @@
+package core
+
+import "strconv"
+
+// RequestID identifies one request of one caller within the deployment. The
+// companion that read the request from the caller's flow gives it.
+type RequestID struct {
+	// Companion is the instance that read the request.
+	Companion InstanceID
+	// Incarnation tells one start of that companion from the next.
+	Incarnation uint64
+	// Number counts the requests read since that start.
+	Number uint64
+}
+
+// String returns "companion/incarnation/number".
+func (id RequestID) String() string {
+	return string(id.Companion) + "/" + strconv.FormatUint(id.Incarnation, 10) + "/" + strconv.FormatUint(id.Number, 10)
+}
+
+// AttemptID identifies one try at running a request on one backend server.
+// Answers are matched by it, never by their order of arrival.
+type AttemptID struct {
+	Request RequestID
+	// Number counts the tries at this request, from 1.
+	Number uint32
+}
+
+// String returns "request#number".
+func (id AttemptID) String() string {
+	return id.Request.String() + "#" + strconv.FormatUint(uint64(id.Number), 10)
+}
