Decide the fate of one request in a core without I/O

Cause: nothing decided where a request runs, when it is tried again and what a refusal may claim.

Change: request.Core takes typed events with the time and returns typed actions. It queues by arrival with a bound on length and wait, asks the freer of two companions with a fresh slot count for a reservation, then hands the request over with a shorter deadline. Answers are matched by attempt, late ones are discarded, a grant that nobody waits for is given back. Retries cost a budget earned as a share of requests and wait a random backoff. A refusal says "not run" only when no part can have reached a backend server that may have run it. A keyed request runs on when its caller goes away, so that a resubmission finds the answer.

--- /dev/null
+++ b/request/actions.go
@@ -0,0 +1,127 @@
+package request
+
+import (
+	"time"
+
+	"zinniapulley.dev/core"
+)
+
+// Action is something that the core asks its companion to do.
+type Action interface{ action() }
+
+// Reserve asks a companion, perhaps this one, for a slot.
+type Reserve struct {
+	Attempt core.AttemptID
+	Peer    core.InstanceID
+	// Timeout is how long the answer may take.
+	Timeout time.Duration
+	// Known is the slot count that the choice relied on.
+	Known Load
+}
+
+// Run hands the request to the companion that granted the slot.
+type Run struct {
+	Attempt core.AttemptID
+	Peer    core.InstanceID
+	// Timeout is how long the answer may take. It is shorter than what is left
+	// to the caller's deadline, by the margin of the hop.
+	Timeout time.Duration
+}
+
+// Cancel tells a companion that nobody waits for an attempt any more. It gives
+// up the attempt's reservation or ends its run.
+type Cancel struct {
+	Attempt core.AttemptID
+	Peer    core.InstanceID
+}
+
+// Deliver hands the answer of an attempt to the caller, as it comes.
+type Deliver struct{ Attempt core.AttemptID }
+
+// Discard throws away an answer that belongs to no waiting request.
+type Discard struct{ Attempt core.AttemptID }
+
+// Finish says that the caller has the whole answer.
+type Finish struct{ ID core.RequestID }
+
+// Cut breaks the caller's flow in the middle of an answer, so that the answer
+// never looks whole.
+type Cut struct{ ID core.RequestID }
+
+// Refuse answers the caller in place of a backend server.
+type Refuse struct {
+	ID      core.RequestID
+	Outcome Outcome
+	Reason  Reason
+	// RetryAfter is how long the caller should wait before the next try.
+	RetryAfter time.Duration
+}
+
+func (Reserve) action() {}
+func (Run) action()     {}
+func (Cancel) action()  {}
+func (Deliver) action() {}
+func (Discard) action() {}
+func (Finish) action()  {}
+func (Cut) action()     {}
+func (Refuse) action()  {}
+
+// Outcome is what a caller may conclude from a refusal.
+type Outcome uint8
+
+const (
+	// NotRun means that the request did not run on any backend server.
+	NotRun Outcome = iota + 1
+	// OutcomeUnknown means that the request may have run.
+	OutcomeUnknown
+	// StillRunning means that an earlier submission of the key still runs.
+	StillRunning
+	// KeyReused means that the key came before with another body. This body
+	// did not run.
+	KeyReused
+)
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	names := [...]string{"", "not run", "outcome unknown", "still running", "key reused"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return "unknown"
+}
+
+// Reason says why a request was refused.
+type Reason uint8
+
+const (
+	// ReasonQueueFull means that too many requests were waiting.
+	ReasonQueueFull Reason = iota + 1
+	// ReasonNoSlot means that no slot became free in time.
+	ReasonNoSlot
+	// ReasonShed means that backend servers shed the request and the retry
+	// budget allows no further try.
+	ReasonShed
+	// ReasonUnreachable means that a backend server accepted no connection and
+	// the retry budget allows no further try.
+	ReasonUnreachable
+	// ReasonNoClaim means that the idempotency key could not be claimed.
+	ReasonNoClaim
+	// ReasonBroken means that the backend server's answer was lost.
+	ReasonBroken
+	// ReasonDeadline means that the deadline passed while the request ran.
+	ReasonDeadline
+	// ReasonDuplicate means that the idempotency key was submitted before.
+	ReasonDuplicate
+)
+
+// String returns the reason as callers and logs see it.
+func (r Reason) String() string {
+	names := [...]string{
+		"", "queue full", "no slot in time", "shed", "backend server unreachable",
+		"idempotency key not claimed", "answer lost", "deadline passed", "duplicate of an earlier request",
+	}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/request/events.go
@@ -0,0 +1,118 @@
+package request
+
+import (
+	"time"
+
+	"zinniapulley.dev/core"
+)
+
+// Event is something that happened to a request or to the peers.
+type Event interface{ event() }
+
+// Arrived is a request read from a caller's flow.
+type Arrived struct {
+	ID core.RequestID
+	// Deadline is when the caller no longer waits for the answer.
+	Deadline time.Time
+	// Repeatable is true when running the request twice does no harm.
+	Repeatable bool
+	// Keyed is true when the request carries an idempotency key. It is then
+	// claimed where it runs, and runs on even if its caller goes away, so that
+	// a resubmission finds its answer.
+	Keyed bool
+}
+
+// CallerGone is the end of the caller's flow before the whole answer.
+type CallerGone struct{ ID core.RequestID }
+
+// ReserveAnswered is a companion's answer to Reserve.
+type ReserveAnswered struct {
+	Attempt core.AttemptID
+	Peer    core.InstanceID
+	Granted bool
+	Load    Load
+}
+
+// ReserveLost is a Reserve whose answer did not come.
+type ReserveLost struct{ Attempt core.AttemptID }
+
+// AnswerStarted is the head of the backend server's answer to an attempt.
+type AnswerStarted struct{ Attempt core.AttemptID }
+
+// RunEnded is the end of an attempt.
+type RunEnded struct {
+	Attempt core.AttemptID
+	Result  RunResult
+	// Load is the slot count after the attempt, nil when it is not known.
+	Load *Load
+}
+
+// PeersChanged lists all companions of the service that may take requests,
+// this one included.
+type PeersChanged struct{ Peers []core.InstanceID }
+
+// PeerLoad is a companion's slot count, learned outside a reservation.
+type PeerLoad struct {
+	Peer core.InstanceID
+	Load Load
+}
+
+func (Arrived) event()         {}
+func (CallerGone) event()      {}
+func (ReserveAnswered) event() {}
+func (ReserveLost) event()     {}
+func (AnswerStarted) event()   {}
+func (RunEnded) event()        {}
+func (PeersChanged) event()    {}
+func (PeerLoad) event()        {}
+
+// Load is a companion's slot count.
+type Load struct {
+	// Free is how many more requests it would take; Bound is how many its
+	// backend server bears.
+	Free  int
+	Bound int
+}
+
+// RunResult says how an attempt ended.
+type RunResult uint8
+
+const (
+	// RunAnswered is a whole answer.
+	RunAnswered RunResult = iota + 1
+	// RunNotStarted is an attempt whose reservation was no longer good.
+	// Nothing reached the backend server.
+	RunNotStarted
+	// RunUnreachable is a backend server that accepted no connection. Nothing
+	// reached it.
+	RunUnreachable
+	// RunShed is a backend server that said it did not run the request.
+	RunShed
+	// RunNotClaimed is a keyed request whose claim could not be committed. It
+	// was not run.
+	RunNotClaimed
+	// RunBroken is an attempt of which a part may have reached the backend
+	// server and whose answer is missing or incomplete.
+	RunBroken
+	// RunTimedOut is an attempt without a whole answer at its deadline.
+	RunTimedOut
+	// RunDuplicateRunning is a keyed request whose first submission still runs.
+	RunDuplicateRunning
+	// RunDuplicateUnknown is a keyed request that was submitted before and of
+	// which nobody knows whether it ran or what was answered.
+	RunDuplicateUnknown
+	// RunKeyReused is a keyed request whose key came before with another body.
+	RunKeyReused
+)
+
+// String returns the result's name.
+func (r RunResult) String() string {
+	names := [...]string{
+		"", "answered", "not started", "unreachable", "shed", "not claimed",
+		"broken", "timed out", "duplicate running", "duplicate unknown", "key reused",
+	}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/request/slots.go
@@ -0,0 +1,169 @@
+package request
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"zinniapulley.dev/core"
+)
+
+// arrived queues a new request, or refuses it when too many wait.
+func (c *Core) arrived(now time.Time, e Arrived) {
+	if _, ok := c.requests[e.ID]; ok {
+		return
+	}
+	c.counts.Arrived++
+	c.budget.earn()
+	c.arrivals++
+	r := &pending{
+		id:         e.ID,
+		order:      c.arrivals,
+		deadline:   e.Deadline,
+		waitUntil:  c.waitUntil(now, e.Deadline),
+		repeatable: e.Repeatable,
+		keyed:      e.Keyed,
+		lastReason: ReasonNoSlot,
+	}
+	c.requests[r.id] = r
+	if len(c.queue) >= c.limits.MaxQueue {
+		c.refuse(r, ReasonQueueFull)
+		return
+	}
+	c.enqueue(now, r)
+}
+
+// waitUntil returns how long a request that is queued at the given time waits
+// for a slot.
+func (c *Core) waitUntil(queued, deadline time.Time) time.Time {
+	lastStart := deadline.Add(-c.limits.MinRun)
+	return earlier(lastStart, queued.Add(c.limits.MaxWait))
+}
+
+// enqueue puts a request among the queued ones, by order of arrival.
+func (c *Core) enqueue(now time.Time, r *pending) {
+	if !now.Before(r.waitUntil) {
+		c.refuse(r, r.lastReason)
+		return
+	}
+	r.phase = phaseQueued
+	at, _ := slices.BinarySearchFunc(c.queue, r.order, compareOrder)
+	c.queue = slices.Insert(c.queue, at, r)
+	c.set(r, r.waitUntil)
+}
+
+func compareOrder(r *pending, order uint64) int {
+	return cmp.Compare(r.order, order)
+}
+
+func (c *Core) dequeue(r *pending) {
+	at, ok := slices.BinarySearchFunc(c.queue, r.order, compareOrder)
+	if ok {
+		c.queue = slices.Delete(c.queue, at, at+1)
+	}
+}
+
+// pump asks for slots for the requests that have waited longest, as long as
+// some companion has, or may have, a free one.
+func (c *Core) pump(now time.Time) {
+	for len(c.queue) > 0 && c.reserving < c.limits.MaxReserving {
+		candidates := c.peers.candidates(now)
+		if len(candidates) == 0 {
+			return
+		}
+		chosen := candidates[c.chooser.Choose(candidates, c.random)]
+		r := c.queue[0]
+		c.dequeue(r)
+		c.reserve(now, r, chosen)
+	}
+}
+
+func (c *Core) reserve(now time.Time, r *pending, chosen Candidate) {
+	c.peers.taken(now, c.peers.find(chosen.Peer))
+	c.reserving++
+	r.phase = phaseReserving
+	r.attempt++
+	r.peer = chosen.Peer
+	timeout := min(c.limits.ReserveTimeout, r.waitUntil.Sub(now))
+	c.set(r, now.Add(timeout))
+	c.do(Reserve{Attempt: r.attemptID(), Peer: r.peer, Timeout: timeout, Known: chosen.Load})
+}
+
+// reserveAnswered runs the request at the companion that granted the slot. A
+// slot granted to a request that no longer waits for it is given back.
+func (c *Core) reserveAnswered(now time.Time, e ReserveAnswered) {
+	c.peers.learn(now, e.Peer, e.Load)
+	r := c.current(e.Attempt)
+	if r == nil || r.phase != phaseReserving {
+		c.giveBack(e)
+		return
+	}
+	c.reserving--
+	if !e.Granted {
+		c.enqueue(now, r)
+		return
+	}
+	c.run(now, r)
+}
+
+func (c *Core) giveBack(e ReserveAnswered) {
+	if e.Granted {
+		c.do(Cancel{Attempt: e.Attempt, Peer: e.Peer})
+	}
+}
+
+func (c *Core) reserveLost(now time.Time, e ReserveLost) {
+	r := c.current(e.Attempt)
+	if r == nil || r.phase != phaseReserving {
+		return
+	}
+	c.giveUpReservation(now, r)
+}
+
+// giveUpReservation takes a missing answer to Reserve. The slot may have been
+// granted, so it is cancelled; should the cancellation be lost too, the
+// reservation expires.
+func (c *Core) giveUpReservation(now time.Time, r *pending) {
+	c.reserving--
+	c.peers.lost(now, r.peer)
+	c.do(Cancel{Attempt: r.attemptID(), Peer: r.peer})
+	c.enqueue(now, r)
+}
+
+func (c *Core) run(now time.Time, r *pending) {
+	timeout := r.deadline.Sub(now)
+	if r.peer != c.peers.self {
+		timeout -= c.limits.HopMargin
+	}
+	if timeout < c.limits.MinRun {
+		c.do(Cancel{Attempt: r.attemptID(), Peer: r.peer})
+		c.refuse(r, ReasonNoSlot)
+		return
+	}
+	c.counts.Runs++
+	if r.runs > 0 {
+		c.counts.Retries++
+	}
+	if r.peer != c.peers.self {
+		c.counts.PassedOn++
+	}
+	r.phase = phaseRunning
+	c.set(r, r.deadline)
+	c.do(Run{Attempt: r.attemptID(), Peer: r.peer, Timeout: timeout})
+}
+
+// current returns the request whose current attempt this is, or nil.
+func (c *Core) current(attempt core.AttemptID) *pending {
+	r, ok := c.requests[attempt.Request]
+	if !ok || r.attempt != attempt.Number {
+		return nil
+	}
+	return r
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
