Test that a silent holder is not replaced

Cause: the interleaving test finds a take-over from an unreachable holder in some runs only. Change: a named test for both an unreachable and a restarted holder. Conclusion: the case is caught in every run.

--- a/claim/keeper_test.go
+++ b/claim/keeper_test.go
@@ -367,3 +367,26 @@
 		t.Fatalf("outcome %d", w.outcomes[second])
 	}
 }
+
+// TestSilentHolderIsNotReplaced leaves a duplicate without a word from the
+// holder's companion, or with the word that it has restarted.
+func TestSilentHolderIsNotReplaced(t *testing.T) {
+	for _, status := range []claim.HolderStatus{claim.HolderUnreachable, claim.HolderRestarted} {
+		w := newClaimWorld(t.Fatalf)
+		w.drain()
+		w.submit("c1", key("k"), claim.Digest{})
+		w.drain()
+		second := w.submit("c2", key("k"), claim.Digest{})
+		for range 2 {
+			message := w.bag[0]
+			w.bag = w.bag[1:]
+			message()
+		}
+		w.bag = nil
+		w.handle("c2", claim.HolderAnswered{Attempt: second, Status: status})
+		w.drain()
+		if w.outcomes[second] != claim.OutcomeDuplicateUnknown {
+			t.Fatalf("status %d: outcome %d", status, w.outcomes[second])
+		}
+	}
+}
