--- a/admission/slots.go
+++ b/admission/slots.go
@@ -143,14 +143,18 @@
 	pressure pressure
 }
 
-// NewSlots returns the slots of a backend server in cold start.
-func NewSlots(limits SlotLimits, startID core.StartID) *Slots {
-	return &Slots{
+// NewSlots returns the slots of a backend server in cold start. They give out
+// nothing for the stop grace: an earlier start of the companion may have left
+// requests running that nobody counts any more.
+func NewSlots(now time.Time, limits SlotLimits, startID core.StartID) *Slots {
+	s := &Slots{
 		limits:   limits,
 		startID:  startID,
 		held:     make(map[core.AttemptID]*slot),
 		pressure: newPressure(limits),
 	}
+	s.pressure.pausedUntil = now.Add(limits.StopGrace)
+	return s
 }
 
 // Counts returns the slots taken and the bound at the given time.
--- a/admission/slots_test.go
+++ b/admission/slots_test.go
@@ -16,6 +16,11 @@
 	return core.AttemptID{Request: core.RequestID{Companion: "c1", Number: uint64(n)}, Number: 1}
 }
 
+// newSlots returns slots whose first pause is over at slotEpoch.
+func newSlots(limits admission.SlotLimits) *admission.Slots {
+	return admission.NewSlots(slotEpoch.Add(-limits.StopGrace), limits, 1)
+}
+
 // answer runs one request to a whole answer with the given latency.
 func answer(s *admission.Slots, now time.Time, n int, latency time.Duration) time.Time {
 	s.Reserve(now, attempt(n))
@@ -45,7 +50,7 @@
 
 func TestFreshBackendServerBearsLessAndIsRaisedByAnswersInTime(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := admission.NewSlots(admission.DefaultSlotLimits(5), 1)
+	s := newSlots(admission.DefaultSlotLimits(5))
 	g.Expect(s.Reserve(slotEpoch, attempt(1))).To(gomega.Equal(admission.SlotGranted))
 	g.Expect(s.Reserve(slotEpoch, attempt(2))).To(gomega.Equal(admission.SlotFull))
 	s.Cancel(attempt(1))
@@ -81,7 +86,7 @@
 	for name, fall := range cases {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			s := admission.NewSlots(admission.DefaultSlotLimits(5), 1)
+			s := newSlots(admission.DefaultSlotLimits(5))
 			now := warm(s, slotEpoch, 5)
 			fall(s, now)
 			g.Expect(s.Counts(now.Add(time.Minute)).Bound).To(gomega.Equal(1))
@@ -91,7 +96,7 @@
 
 func TestShedCutsBelowWhatWasRunning(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := admission.NewSlots(admission.DefaultSlotLimits(5), 1)
+	s := newSlots(admission.DefaultSlotLimits(5))
 	now := warm(s, slotEpoch, 5)
 	for n := range 4 {
 		s.Reserve(now, attempt(n))
@@ -105,7 +110,7 @@
 func TestReservationExpiresWhenTheAskerDies(t *testing.T) {
 	g := gomega.NewWithT(t)
 	limits := admission.DefaultSlotLimits(1)
-	s := admission.NewSlots(limits, 1)
+	s := newSlots(limits)
 	g.Expect(s.Reserve(slotEpoch, attempt(1))).To(gomega.Equal(admission.SlotGranted))
 	late := slotEpoch.Add(limits.ReservationTTL)
 	g.Expect(s.Reserve(late, attempt(2))).To(gomega.Equal(admission.SlotGranted))
@@ -115,7 +120,7 @@
 func TestCancelledRequestKeepsItsSlotUntilTheBackendServerHasStopped(t *testing.T) {
 	g := gomega.NewWithT(t)
 	limits := admission.DefaultSlotLimits(1)
-	s := admission.NewSlots(limits, 1)
+	s := newSlots(limits)
 	s.Reserve(slotEpoch, attempt(1))
 	s.Start(slotEpoch, attempt(1))
 	s.Finish(slotEpoch, attempt(1), admission.SlotCancelled)
@@ -125,7 +130,7 @@
 
 func TestDrainingGivesNoReservationButStartsOldOnes(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := admission.NewSlots(admission.DefaultSlotLimits(2), 1)
+	s := newSlots(admission.DefaultSlotLimits(2))
 	s.Reserve(slotEpoch, attempt(1))
 	s.SetDraining(true)
 	g.Expect(s.Reserve(slotEpoch, attempt(2))).To(gomega.Equal(admission.SlotDraining))
@@ -139,7 +144,7 @@
 		hard := rapid.IntRange(1, 4).Draw(t, "hard")
 		limits := admission.DefaultSlotLimits(hard)
 		limits.RaiseAfter = 1
-		s := admission.NewSlots(limits, 1)
+		s := newSlots(limits)
 		now := slotEpoch
 		start := core.StartID(1)
 		// busyUntil holds what may run; a zero time means until it ends.
@@ -206,7 +211,7 @@
 
 func TestReservationsBeyondACutBoundAreNotStarted(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := admission.NewSlots(admission.DefaultSlotLimits(3), 1)
+	s := newSlots(admission.DefaultSlotLimits(3))
 	now := warm(s, slotEpoch, 3)
 	for n := range 3 {
 		g.Expect(s.Reserve(now, attempt(n))).To(gomega.Equal(admission.SlotGranted))
@@ -216,3 +221,11 @@
 	g.Expect(s.Start(now, attempt(1))).To(gomega.Equal(admission.SlotGranted))
 	g.Expect(s.Start(now, attempt(2))).To(gomega.Equal(admission.SlotFull))
 }
+
+func TestRestartedCompanionWaitsForWhatItMayHaveLeftRunning(t *testing.T) {
+	g := gomega.NewWithT(t)
+	limits := admission.DefaultSlotLimits(1)
+	s := admission.NewSlots(slotEpoch, limits, 1)
+	g.Expect(s.Reserve(slotEpoch, attempt(1))).To(gomega.Equal(admission.SlotPaused))
+	g.Expect(s.Reserve(slotEpoch.Add(limits.StopGrace), attempt(1))).To(gomega.Equal(admission.SlotGranted))
+}
--- a/core/request.go
+++ b/core/request.go
@@ -1,6 +1,9 @@
 package core
 
-import "strconv"
+import (
+	"cmp"
+	"strconv"
+)
 
 // RequestID identifies one request of one caller within the deployment. The
 // companion that read the request from the caller's flow gives it.
@@ -30,3 +33,14 @@
 func (id AttemptID) String() string {
 	return id.Request.String() + "#" + strconv.FormatUint(uint64(id.Number), 10)
 }
+
+// Compare orders attempts by companion, incarnation and number.
+func (id AttemptID) Compare(other AttemptID) int {
+	a, b := id.Request, other.Request
+	return cmp.Or(
+		cmp.Compare(a.Companion, b.Companion),
+		cmp.Compare(a.Incarnation, b.Incarnation),
+		cmp.Compare(a.Number, b.Number),
+		cmp.Compare(id.Number, other.Number),
+	)
+}
--- a/request/events.go
+++ b/request/events.go
@@ -96,6 +96,9 @@
 	RunBroken
 	// RunTimedOut is an attempt without a whole answer at its deadline.
 	RunTimedOut
+	// RunCancelled is an attempt that was cancelled while it ran. The backend
+	// server may have run it.
+	RunCancelled
 	// RunDuplicateRunning is a keyed request whose first submission still runs.
 	RunDuplicateRunning
 	// RunDuplicateUnknown is a keyed request that was submitted before and of
@@ -109,7 +112,7 @@
 func (r RunResult) String() string {
 	names := [...]string{
 		"", "answered", "not started", "unreachable", "shed", "not claimed",
-		"broken", "timed out", "duplicate running", "duplicate unknown", "key reused",
+		"broken", "timed out", "cancelled", "duplicate running", "duplicate unknown", "key reused",
 	}
 	if int(r) < len(names) {
 		return names[r]
