Free closed flows after five seconds

Cause: under the race detector, the reordered case of the path test kept a flow for 30 s. The TCP library moves from LAST-ACK to FIN-WAIT-1 when it sends its FIN again, and then waits for a FIN that has already come.

Change: the library's FIN-WAIT-2 time is 5 s, which is when a flow that the companion has fully closed is given up.

Figures: before, go test -race -count=6 ./standin/: failed in 'reordered' with one flow left after 30 s. After, -count=5: passes.

Conclusion: the flow's key is freed in bounded time; the backend server's connection was free before already.

--- a/relay/tcpstack/link.go
+++ b/relay/tcpstack/link.go
@@ -31,8 +31,9 @@
 	// timeWait is how long a closed flow's key stays taken.
 	timeWait = 2 * time.Second
 	// finWait is how long a flow that the companion has closed waits for the
-	// caller to close too.
-	finWait = 30 * time.Second
+	// caller to close too. The library also waits that long, in FIN-WAIT-2, if
+	// it had to send its FIN again after the caller's FIN had come.
+	finWait = 5 * time.Second
 	// maxRetries is how often a packet is sent again before the flow ends.
 	maxRetries = 10
 	// DefaultMTU is the default size in bytes of the largest IPv4 packet. It
