--- a/demo/bench.go
+++ b/demo/bench.go
@@ -21,6 +21,8 @@
 	"zinniapulley.dev/settings"
 	"zinniapulley.dev/standin/caller"
 	"zinniapulley.dev/standin/fabric"
+	"zinniapulley.dev/standin/greeter"
+	"zinniapulley.dev/standin/session"
 	"zinniapulley.dev/wire"
 )
 
@@ -37,7 +39,7 @@
 	document    config.Document
 	dataCentres []core.DataCentre
 	control     *control.Server
-	backends    []*backend
+	backends    []*greeter.Server
 	fabric      *fabric.Fabric
 	callers     *caller.Stack
 	running     sync.WaitGroup
@@ -143,7 +145,7 @@
 }
 
 func (b *bench) startCompanion(ctx context.Context, s *settings.Settings) error {
-	server, err := newBackend(s.Companion.Service, s.DataCentre, s.Instance)
+	server, err := greeter.New(greeter.Names{Service: s.Companion.Service, DataCentre: s.DataCentre, Instance: s.Instance})
 	if err != nil {
 		return err
 	}
@@ -152,7 +154,7 @@
 		Instance:      s.Instance,
 		DataCentre:    s.DataCentre,
 		Service:       s.Companion.Service,
-		BackendServer: server.listener.Addr().(*net.TCPAddr).AddrPort(),
+		BackendServer: server.Address(),
 		Packets:       anyPort,
 		FabricReturn:  b.fabric.Return(),
 		Capacity:      core.Capacity{Connections: s.Companion.Capacity.Connections, Slots: s.Companion.Capacity.Slots},
@@ -186,7 +188,7 @@
 	b.cancel()
 	b.running.Wait()
 	for _, server := range b.backends {
-		_ = server.listener.Close()
+		server.Close()
 	}
 	if b.callers != nil {
 		b.callers.Close()
@@ -237,14 +239,14 @@
 
 // openFlows opens count flows, spread over the services by their backend
 // servers.
-func (b *bench) openFlows(ctx context.Context, count int) []*session {
-	sessions := make([]*session, count)
+func (b *bench) openFlows(ctx context.Context, count int) []*session.Session {
+	sessions := make([]*session.Session, count)
 	var opening sync.WaitGroup
 	for i := range count {
-		service := b.backends[i%len(b.backends)].service
+		service := b.backends[i%len(b.backends)].Names().Service
 		address := b.document.Services[service].Address
 		opening.Go(func() {
-			sessions[i] = open(ctx, service, func(ctx context.Context) (net.Conn, error) {
+			sessions[i] = session.Open(ctx, service, func(ctx context.Context) (net.Conn, error) {
 				return b.callers.Dial(ctx, firstCaller, address)
 			})
 		})
@@ -255,22 +257,22 @@
 
 // imbalance returns the highest ratio, over the services, of the most flows of
 // a backend server to the mean. All backend servers of a service bear alike.
-func (b *bench) imbalance(sessions []*session) float64 {
+func (b *bench) imbalance(sessions []*session.Session) float64 {
 	perInstance := make(map[core.InstanceID]int)
 	perService := make(map[core.ServiceName]int)
 	for _, s := range sessions {
-		perInstance[s.end.instance]++
-		perService[s.service]++
+		perInstance[s.Names().Instance]++
+		perService[s.Service()]++
 	}
 	servers := make(map[core.ServiceName]int)
 	for _, server := range b.backends {
-		servers[server.service]++
+		servers[server.Names().Service]++
 	}
 	worst := 0.0
 	for _, server := range b.backends {
-		mean := float64(perService[server.service]) / float64(servers[server.service])
+		mean := float64(perService[server.Names().Service]) / float64(servers[server.Names().Service])
 		if mean > 0 {
-			worst = max(worst, float64(perInstance[server.instance])/mean)
+			worst = max(worst, float64(perInstance[server.Names().Instance])/mean)
 		}
 	}
 	return worst
@@ -278,11 +280,11 @@
 
 // lastPacket returns when a backend server of the data centre last got a byte.
 func (b *bench) lastPacket(name core.DataCentre) time.Time {
-	var last int64
+	var last time.Time
 	for _, server := range b.backends {
-		if server.dataCentre == name {
-			last = max(last, server.lastByte.Load())
+		if server.Names().DataCentre == name && server.LastByte().After(last) {
+			last = server.LastByte()
 		}
 	}
-	return time.Unix(0, last)
+	return last
 }
--- a/demo/report.go
+++ b/demo/report.go
@@ -3,12 +3,11 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"slices"
 	"time"
 
-	"github.com/juju/errors"
 	"zinniapulley.dev/core"
+	"zinniapulley.dev/standin/session"
 )
 
 // Report is what a run gave, as callers and backend servers saw it.
@@ -39,8 +38,8 @@
 
 // BrokenFlows counts broken flows of one cause.
 type BrokenFlows struct {
-	Cause string `json:"cause"`
-	Flows int    `json:"flows"`
+	Cause session.Cause `json:"cause"`
+	Flows int           `json:"flows"`
 }
 
 // BrokenTotal returns the number of broken flows of all causes.
@@ -62,7 +61,7 @@
 	line("flows given up with "+string(r.DataCentre), r.GivenUp)
 	line("flows broken", r.BrokenTotal())
 	for _, broken := range r.Broken {
-		line("  by "+broken.Cause, broken.Flows)
+		line("  by "+string(broken.Cause), broken.Flows)
 	}
 	line("wrong-service packets", r.WrongService)
 	line("imbalance (max over mean)", fmt.Sprintf("%.2f", r.Imbalance))
@@ -70,19 +69,20 @@
 	line("flows in "+string(r.DataCentre)+" after its return", r.Returned)
 }
 
-func (b *bench) report(out core.DataCentre, lastPacket time.Duration, imbalance float64, groups ...[]*session) Report {
+func (b *bench) report(out core.DataCentre, lastPacket time.Duration, imbalance float64, groups ...[]*session.Session) Report {
 	r := Report{
 		Example:           b.options.Example,
 		Imbalance:         imbalance,
 		DataCentre:        out,
 		LastPacketSeconds: max(0, lastPacket.Seconds()),
+		Broken:            []BrokenFlows{},
 	}
-	causes := make(map[string]int)
+	causes := make(map[session.Cause]int)
 	for i, sessions := range groups {
 		for _, s := range sessions {
-			end := s.close()
+			end := s.Close()
 			r.count(end, out, causes)
-			if i == len(groups)-1 && end.dataCentre == out {
+			if i == len(groups)-1 && end.Names.DataCentre == out {
 				r.Returned++
 			}
 		}
@@ -95,34 +95,19 @@
 }
 
 // count adds one flow's end to the report.
-func (r *Report) count(end sessionEnd, out core.DataCentre, causes map[string]int) {
+func (r *Report) count(end session.End, out core.DataCentre, causes map[session.Cause]int) {
 	r.Opened++
-	if end.wrongService {
+	if end.WrongService {
 		r.WrongService++
 	}
 	switch {
-	case end.refused:
-		r.Refused++
-	case end.err == nil:
+	case end.Cause == session.CauseNone:
 		r.Kept++
-	case end.dataCentre == out:
+	case end.Cause == session.CauseRefused:
+		r.Refused++
+	case end.Names.DataCentre == out:
 		r.GivenUp++
 	default:
-		causes[cause(end.err)]++
-	}
-}
-
-// cause names the error that ended a flow without the flow's own address.
-func cause(err error) string {
-	var timeout net.Error
-	switch {
-	case errors.Is(err, errAnswer):
-		return "wrong answer"
-	case errors.Is(err, io.EOF):
-		return "closed early"
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return "no answer"
-	default:
-		return "reset"
+		causes[end.Cause]++
 	}
 }
