--- a/config/section.go
+++ b/config/section.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"zinniapulley.dev/core"
+	"zinniapulley.dev/core/strictjson"
 )
 
 // Section names the part of the document that a submission changes:
@@ -93,3 +94,12 @@
 	}
 	return "", false
 }
+
+// path returns the JSON path of the section within the document.
+func (s Section) path() string {
+	name, ok := s.Service()
+	if ok {
+		return strictjson.Join("services", string(name))
+	}
+	return string(s)
+}
--- a/config/validate.go
+++ b/config/validate.go
@@ -17,7 +17,7 @@
 	// MaxDataCentres is the most data centres of a document.
 	MaxDataCentres = 64
 	// MaxTeams is the most teams of a document.
-	MaxTeams = 1024
+	MaxTeams = 256
 	// MaxTokens is the most tokens of a team.
 	MaxTokens = 16
 	// MaxShare is the highest share, in percent.
@@ -57,7 +57,7 @@
 }
 
 func (v *validator) add(path, format string, args ...any) {
-	v.faults = append(v.faults, Fault{Path: path, Problem: fmt.Sprintf(format, args...)})
+	v.faults = append(v.faults, strictjson.NewFault(path, fmt.Sprintf(format, args...)))
 }
 
 // within adds a fault when a number lies outside its bounds.
--- a/core/strictjson/decode.go
+++ b/core/strictjson/decode.go
@@ -21,14 +21,20 @@
 // finds, and nil when there is none. With faults, target holds those parts
 // that could be decoded.
 func Decode(data []byte, target any) Faults {
+	return DecodeAt("", data, target)
+}
+
+// DecodeAt is Decode for a part of a document: the paths of faults start with
+// the path of the part.
+func DecodeAt(path string, data []byte, target any) Faults {
 	var d decoder
 	var raw json.RawMessage
 	err := json.Unmarshal(data, &raw)
 	if err != nil {
-		d.add("", syntaxProblem(err))
+		d.add(path, syntaxProblem(err))
 		return d.faults
 	}
-	d.value("", raw, reflect.ValueOf(target).Elem())
+	d.value(path, raw, reflect.ValueOf(target).Elem())
 	return d.faults
 }
 
@@ -45,7 +51,7 @@
 }
 
 func (d *decoder) add(path, problem string) {
-	d.faults = append(d.faults, Fault{Path: path, Problem: problem})
+	d.faults = append(d.faults, NewFault(path, problem))
 }
 
 // value decodes one JSON value, which is known to be well-formed.
--- a/core/strictjson/faults.go
+++ b/core/strictjson/faults.go
@@ -9,6 +9,12 @@
 // maxShown is the most faults that the text of Faults spells out.
 const maxShown = 200
 
+// Bounds, in bytes, of what a fault repeats of the input.
+const (
+	maxShownName = 100
+	maxProblem   = 400
+)
+
 // Fault is one thing wrong with a JSON document.
 type Fault struct {
 	// Path leads to the value, for example "services.matcher.address" or
@@ -18,6 +24,18 @@
 	Problem string `json:"problem"`
 }
 
+// NewFault returns a fault with its problem cut to a bounded length.
+func NewFault(path, problem string) Fault {
+	return Fault{Path: path, Problem: cut(problem, maxProblem)}
+}
+
+func cut(text string, most int) string {
+	if len(text) <= most {
+		return text
+	}
+	return strings.ToValidUTF8(text[:most], "") + "..."
+}
+
 // String returns "path: problem".
 func (f Fault) String() string {
 	if f.Path == "" {
@@ -52,6 +70,17 @@
 	return f
 }
 
+// Clip returns at most the given number of faults. Where it leaves some out,
+// the last one says how many.
+func (f Faults) Clip(most int) Faults {
+	if len(f) <= most {
+		return f
+	}
+	clipped := append(Faults(nil), f[:most-1]...)
+	problem := fmt.Sprintf("has %d more faults", len(f)-len(clipped))
+	return append(clipped, Fault{Problem: problem})
+}
+
 // Covers reports whether a fault lies at the path or at a value that holds it.
 func (f Faults) Covers(path string) bool {
 	for _, fault := range f {
@@ -64,8 +93,9 @@
 }
 
 // Join returns the path of a named member of the object at path. A name that
-// isn't made of letters, digits, '-' and '_' is quoted.
+// isn't made of letters, digits, '-' and '_' is quoted, and a long one is cut.
 func Join(path, name string) string {
+	name = cut(name, maxShownName)
 	if !plain(name) {
 		name = strconv.Quote(name)
 	}
