--- a/config/validate.go
+++ b/config/validate.go
@@ -24,7 +24,7 @@
 	MaxShare = 1000
 	// MinBuckets and MaxBuckets bound the buckets of a service.
 	MinBuckets = 64
-	MaxBuckets = 65536
+	MaxBuckets = 16384
 	// MaxConnections and MaxSlots bound the capacity of a backend server.
 	MaxConnections = 1 << 20
 	MaxSlots       = 1 << 16
