Build the control role on the cores of configuration, membership and publication

Cause: the thin control role kept the whole document, its own leases and no history, and could not be snapshotted.

Conclusion: partial; the subscriber and the companion still speak the old messages.

--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -86,6 +86,7 @@
 	}
 	for _, service := range snapshot.IDs {
 		state.ids[service.Name] = service.ID
+		state.names[service.ID] = service.Name
 	}
 	for _, entry := range snapshot.History {
 		state.history.add(entry)
--- a/config/state.go
+++ b/config/state.go
@@ -20,10 +20,12 @@
 	// forgotten is the revision of the newest removed section that changed no
 	// longer holds. A section that changed doesn't hold counts as of it.
 	forgotten core.Revision
-	ids       map[core.ServiceName]core.ServiceID
-	lastID    core.ServiceID
-	history   history
-	answers   map[core.Team]*answers
+	// ids and names hold the services of the document.
+	ids     map[core.ServiceName]core.ServiceID
+	names   map[core.ServiceID]core.ServiceName
+	lastID  core.ServiceID
+	history history
+	answers map[core.Team]*answers
 }
 
 // maxRemoved is the most removed sections whose revision is kept.
@@ -34,6 +36,7 @@
 	return &State{
 		changed: make(map[Section]core.Revision),
 		ids:     make(map[core.ServiceName]core.ServiceID),
+		names:   make(map[core.ServiceID]core.ServiceName),
 		answers: make(map[core.Team]*answers),
 	}
 }
@@ -201,6 +204,7 @@
 	for _, name := range sortedKeys(s.ids) {
 		_, stays := next.Services[name]
 		if !stays {
+			delete(s.names, s.ids[name])
 			delete(s.ids, name)
 		}
 	}
@@ -209,6 +213,7 @@
 		if !has {
 			s.lastID++
 			s.ids[name] = s.lastID
+			s.names[s.lastID] = name
 		}
 	}
 }
@@ -267,6 +272,12 @@
 	return id, ok
 }
 
+// ServiceName returns the name of the service with an ID.
+func (s *State) ServiceName(id core.ServiceID) (core.ServiceName, bool) {
+	name, ok := s.names[id]
+	return name, ok
+}
+
 // DataCentres returns the accepted data centres as published, by name.
 func (s *State) DataCentres() []core.DataCentreState {
 	var states []core.DataCentreState
--- /dev/null
+++ b/control/ask.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"zinniapulley.dev/config"
+	"zinniapulley.dev/control/operator"
+	"zinniapulley.dev/control/state"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/loop"
+)
+
+// operators answers the operators' interface by asking the control loop. It
+// implements operator.Control.
+type operators struct {
+	loop *loop.Loop[event]
+}
+
+// Config returns the whole configuration.
+func (o operators) Config(ctx context.Context, token string) (operator.Config, error) {
+	return ask(ctx, o, token, func(h *handler, _ time.Time) (operator.Config, error) {
+		return h.readConfig(), nil
+	})
+}
+
+// Section returns one section.
+func (o operators) Section(ctx context.Context, token string, section config.Section) (operator.Section, error) {
+	return ask(ctx, o, token, func(h *handler, _ time.Time) (operator.Section, error) {
+		return h.readSection(section)
+	})
+}
+
+// History returns the kept changes after a revision.
+func (o operators) History(ctx context.Context, token string, after core.Revision) (operator.History, error) {
+	return ask(ctx, o, token, func(h *handler, _ time.Time) (operator.History, error) {
+		return h.readHistory(after), nil
+	})
+}
+
+// Diff returns what changed between two revisions.
+func (o operators) Diff(ctx context.Context, token string, from, to core.Revision) (operator.Diff, error) {
+	return ask(ctx, o, token, func(h *handler, _ time.Time) (operator.Diff, error) {
+		return h.readDiff(from, to)
+	})
+}
+
+// Status returns the state of the deployment.
+func (o operators) Status(ctx context.Context, token string) (operator.Status, error) {
+	return ask(ctx, o, token, func(h *handler, now time.Time) (operator.Status, error) {
+		return h.readStatus(now), nil
+	})
+}
+
+// ask has the control loop answer a question.
+func ask[A any](ctx context.Context, o operators, token string, read func(*handler, time.Time) (A, error)) (A, error) {
+	var none A
+	answer, err := loop.Ask(ctx, o.loop, func(reply loop.Reply[readAnswer]) event {
+		question := func(h *handler, now time.Time) (any, error) { return read(h, now) }
+		return readEvent{token: token, read: question, reply: reply}
+	})
+	if err == nil {
+		err = answer.err
+	}
+	if err != nil {
+		return none, operatorError(err)
+	}
+	return answer.value.(A), nil
+}
+
+// Submit replaces one section.
+func (o operators) Submit(ctx context.Context, token string, request operator.Submit) (operator.Accepted, error) {
+	return o.command(ctx, token, func(team core.Team, at time.Time) state.Command {
+		return state.Command{Submit: &config.Submission{
+			Section: request.Section, Base: request.Base, Request: request.RequestID, Team: team,
+			Body: request.Body, Remove: request.Remove, At: at,
+		}}
+	})
+}
+
+// SetDataCentre puts a data centre in or out.
+func (o operators) SetDataCentre(ctx context.Context, token string, request operator.SetDataCentre) (operator.Accepted, error) {
+	return o.command(ctx, token, func(team core.Team, at time.Time) state.Command {
+		return state.Command{SetDataCentre: &config.SetDataCentre{
+			Name: request.Name, State: request.State, Request: request.RequestID, Team: team, At: at,
+		}}
+	})
+}
+
+// Drain sets or lifts the wish that a backend server drains.
+func (o operators) Drain(ctx context.Context, token string, request operator.Drain) (operator.Accepted, error) {
+	return o.command(ctx, token, func(team core.Team, _ time.Time) state.Command {
+		return state.Command{Drain: &state.Drain{Instance: request.Instance, Drain: request.Drain, Team: team}}
+	})
+}
+
+// command has the control loop propose a command.
+func (o operators) command(ctx context.Context, token string, build func(core.Team, time.Time) state.Command) (operator.Accepted, error) {
+	answer, err := loop.Ask(ctx, o.loop, func(reply loop.Reply[commandAnswer]) event {
+		return submitEvent{build: build, token: token, reply: reply}
+	})
+	if err == nil {
+		err = answer.err
+	}
+	if err == nil {
+		err = answer.result.Refusal
+	}
+	if err != nil {
+		return operator.Accepted{}, operatorError(err)
+	}
+	revision := answer.result.Revision
+	if answer.result.Answer.Outcome == config.Accepted {
+		revision = answer.result.Answer.Revision
+	}
+	return operator.Accepted{Revision: revision}, nil
+}
--- a/control/handler.go
+++ b/control/handler.go
@@ -4,8 +4,11 @@
 	"log/slog"
 	"time"
 
+	"zinniapulley.dev/control/state"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/loop"
+	"zinniapulley.dev/membership"
+	"zinniapulley.dev/publish"
 	"zinniapulley.dev/wire"
 )
 
@@ -16,149 +19,162 @@
 }
 
 // handler owns all control state of a control instance. Only the control loop
-// calls it.
+// calls it. It is the Machine that the log applies commands to, so that each
+// applied command is published, whoever proposed it.
 type handler struct {
 	log     *slog.Logger
-	machine *machine
+	machine *state.Machine
 	order   Log
-	leases  *leases
-	waiting []*watcher
-	lease   time.Duration
-}
-
-// watcher is a call that waits for a view newer than the one it has.
-type watcher struct {
-	have  core.Revision
-	until time.Time
-	reply loop.Reply[wire.WatchReply]
+	// first is proposed by a leader that finds no configuration; nil for none.
+	first *state.Bootstrap
+
+	// now is the time of the event being handled.
+	now     time.Time
+	leading bool
+
+	leases      *membership.Leases
+	source      *publish.Source
+	tracker     *publish.Tracker
+	relays      *publish.Relays
+	watchers    map[publish.WaiterID]watcher
+	lastWatcher publish.WaiterID
+	confirm     confirmation
+}
+
+func newHandler(log *slog.Logger, first *state.Bootstrap) *handler {
+	return &handler{
+		log:      log,
+		machine:  state.New(),
+		first:    first,
+		leases:   membership.NewLeases(membership.DefaultLease),
+		source:   publish.NewSource(),
+		tracker:  publish.NewTracker(),
+		relays:   publish.NewRelays(),
+		watchers: make(map[publish.WaiterID]watcher),
+	}
 }
 
 // Handle carries out one event.
 func (h *handler) Handle(now time.Time, e event) {
+	h.now = now
+	h.follow(now)
 	e.handle(h, now)
+	h.follow(now)
 }
 
-// Wake takes out backend servers whose lease has expired and answers watchers
-// that have waited long enough.
+// Wake takes out backend servers whose lease has expired, answers watchers that
+// have waited long enough, and has the leadership confirmed.
 func (h *handler) Wake(now time.Time) {
-	for _, id := range h.leases.expired(now) {
-		h.remove(now, id, "lease expired")
+	h.now = now
+	h.follow(now)
+	if !h.leading {
+		return
 	}
-	h.answerWatchers(now)
+	h.expire(now)
+	h.deliver(h.source.Due(now))
+	h.tracker.Forget(now)
+	h.confirmDue(now)
 }
 
-// Deadline returns when the next lease expires or watcher gives up.
+// Deadline returns when the next lease expires, watcher gives up or
+// confirmation is due.
 func (h *handler) Deadline() (time.Time, bool) {
-	due, ok := h.leases.next()
-	for _, w := range h.waiting {
-		if !ok || w.until.Before(due) {
-			due, ok = w.until, true
-		}
+	if !h.leading {
+		return time.Time{}, false
 	}
-	return due, ok
-}
-
-// propose orders a command and answers the watchers once it is applied.
-func (h *handler) propose(now time.Time, command Command, done func(Result, error)) {
-	h.order.Propose(now, command, func(result Result, err error) {
-		done(result, err)
-		h.answerWatchers(now)
-	})
-}
-
-func (h *handler) remove(now time.Time, id core.BackendServerID, reason string) {
-	h.leases.forget(id)
-	command := Command{Remove: &Remove{BackendServer: id}}
-	h.propose(now, command, func(result Result, err error) {
-		h.log.Info("backend server removed", "backendServer", id, "reason", reason,
-			"revision", result.Revision, "error", err)
-	})
-}
-
-// answerWatchers answers those with an older view and those whose wait is over.
-func (h *handler) answerWatchers(now time.Time) {
-	view := h.machine.View()
-	var left []*watcher
-	for _, w := range h.waiting {
-		switch {
-		case view.Revision > w.have:
-			w.reply.Answer(wire.WatchReply{View: view})
-		case !now.Before(w.until):
-			w.reply.Answer(wire.WatchReply{})
-		default:
-			left = append(left, w)
+	due := h.confirm.next
+	for _, next := range []func() (time.Time, bool){h.leases.Next, h.source.Next} {
+		at, ok := next()
+		if ok && at.Before(due) {
+			due = at
 		}
 	}
-	h.waiting = left
+	return due, true
 }
 
-// watchEvent is a process that asks for a newer view.
-type watchEvent struct {
-	request wire.WatchRequest
-	reply   loop.Reply[wire.WatchReply]
+// follow starts or ends a term of this instance as leader.
+func (h *handler) follow(now time.Time) {
+	leading := h.order.Leading()
+	if leading == h.leading {
+		return
+	}
+	h.leading = leading
+	h.log.Info("leadership changed", "leading", leading, "leader", h.order.Leader(), "revision", h.machine.View().Revision)
+	if leading {
+		h.startTerm(now)
+		return
+	}
+	h.endTerm()
+}
+
+func (h *handler) startTerm(now time.Time) {
+	h.leases.Lead(now, h.machine.Members().Servers())
+	h.tracker = publish.NewTracker()
+	h.tracker.Publish(now, h.machine.View().Revision)
+	h.relays = publish.NewRelays()
+	h.confirm.next = now
+	if h.first != nil && h.machine.Config().Empty() {
+		h.propose(state.Command{Bootstrap: h.first}, func(result state.Result, err error) {
+			h.log.Info("initial configuration proposed", "revision", result.Revision, "refusal", result.Refusal, "error", err)
+		})
+	}
 }
 
-func (e watchEvent) handle(h *handler, now time.Time) {
-	wait := min(e.request.Wait, maxWatchWait)
-	h.waiting = append(h.waiting, &watcher{have: e.request.Have, until: now.Add(wait), reply: e.reply})
-	h.answerWatchers(now)
+func (h *handler) endTerm() {
+	refusal := h.notLeader()
+	for id, w := range h.watchers {
+		w.reply.Answer(watchAnswer{err: refusal})
+		delete(h.watchers, id)
+	}
+	h.source.Drop()
+	h.confirm.end(refusal)
 }
 
-// announceAnswer is the answer to an announcement.
-type announceAnswer struct {
-	reply wire.AnnounceReply
-	err   error
+func (h *handler) notLeader() error {
+	return &NotLeaderError{Leader: h.order.Leader()}
 }
 
-// announceEvent is a companion that announces its backend server.
-type announceEvent struct {
-	request wire.AnnounceRequest
-	reply   loop.Reply[announceAnswer]
+// propose orders a command.
+func (h *handler) propose(command state.Command, done func(state.Result, error)) {
+	command.At = h.now.Round(0).UTC()
+	h.order.Propose(h.now, command, done)
 }
 
-func (e announceEvent) handle(h *handler, now time.Time) {
-	command := Announce(e.request)
-	id, service, known := h.machine.Registered(&command)
-	if known {
-		h.renew(now, id, service, e.reply)
-		return
+// Apply carries out one command and publishes what it led to.
+func (h *handler) Apply(command state.Command) state.Result {
+	result := h.machine.Apply(command)
+	for _, server := range result.Departed {
+		h.leases.Forget(server.ID)
+		h.log.Info("backend server taken out", "backendServer", server.ID, "instance", server.Instance,
+			"dataCentre", server.DataCentre, "startID", server.StartID, "revision", result.Revision)
 	}
-	h.propose(now, Command{Announce: &command}, func(result Result, err error) {
-		if err == nil {
-			err = result.Refusal
-		}
-		h.log.Info("backend server announced", "instance", command.Instance, "service", command.Service,
-			"dataCentre", command.DataCentre, "backendServer", result.BackendServer,
-			"revision", result.Revision, "error", err)
-		if err != nil {
-			e.reply.Answer(announceAnswer{err: err})
-			return
-		}
-		h.renew(now, result.BackendServer, result.Service, e.reply)
-	})
+	h.publishView()
+	return result
 }
 
-func (h *handler) renew(now time.Time, id core.BackendServerID, service core.ServiceID, reply loop.Reply[announceAnswer]) {
-	h.leases.renew(id, now.Add(h.lease))
-	reply.Answer(announceAnswer{reply: wire.AnnounceReply{BackendServer: id, Service: service, Lease: h.lease}})
+// Snapshot returns the whole replicated state.
+func (h *handler) Snapshot() state.Snapshot {
+	return h.machine.Snapshot()
 }
 
-// configureAnswer is the answer to a new configuration document.
-type configureAnswer struct {
-	result Result
-	err    error
+// Restore replaces the whole replicated state.
+func (h *handler) Restore(snapshot state.Snapshot) error {
+	restored, err := state.Restore(snapshot)
+	if err != nil {
+		return core.At("restore snapshot", "", err)
+	}
+	h.machine = restored
+	h.publishView()
+	return nil
 }
 
-// configureEvent is an operator's new configuration document.
-type configureEvent struct {
-	document []byte
-	reply    loop.Reply[configureAnswer]
+// watchAnswer is the answer to a watch.
+type watchAnswer struct {
+	reply wire.WatchReply
+	err   error
 }
 
-func (e configureEvent) handle(h *handler, now time.Time) {
-	command := Command{Configure: &Configure{Document: e.document}}
-	h.propose(now, command, func(result Result, err error) {
-		h.log.Info("configuration submitted", "revision", result.Revision, "refusal", result.Refusal, "error", err)
-		e.reply.Answer(configureAnswer{result: result, err: err})
-	})
+// watcher is a call that waits for a newer view.
+type watcher struct {
+	reply loop.Reply[watchAnswer]
 }
--- /dev/null
+++ b/control/members.go
@@ -0,0 +1,179 @@
+package control
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+	"zinniapulley.dev/control/state"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/loop"
+	"zinniapulley.dev/membership"
+	"zinniapulley.dev/wire"
+)
+
+// expire proposes to take out the backend servers whose lease has ended.
+func (h *handler) expire(now time.Time) {
+	departures := h.leases.Expired(now)
+	if len(departures) > 0 {
+		h.depart(departures, "lease expired", func(error) {})
+	}
+}
+
+// depart proposes departures. Backend servers that stay registered get a lease
+// again, so that they are tried again later.
+func (h *handler) depart(departures []membership.Departure, reason string, done func(error)) {
+	h.propose(state.Command{Departures: departures}, func(result state.Result, err error) {
+		h.log.Info("departures", "reason", reason, "departures", len(departures), "takenOut", len(result.Departed),
+			"revision", result.Revision, "refusal", result.Refusal, "error", err)
+		for _, departure := range departures {
+			server, stays := h.machine.Members().Server(departure.BackendServer)
+			if stays && server.StartID == departure.StartID {
+				h.leases.Grant(h.now, server)
+			}
+		}
+		if err == nil {
+			err = result.Refusal
+		}
+		done(err)
+	})
+}
+
+// announceAnswer is the answer to an announcement.
+type announceAnswer struct {
+	reply wire.AnnounceReply
+	err   error
+}
+
+// announceEvent is a companion that announces its backend server.
+type announceEvent struct {
+	request wire.AnnounceRequest
+	reply   loop.Reply[announceAnswer]
+}
+
+func (e announceEvent) handle(h *handler, _ time.Time) {
+	if !h.leading {
+		e.reply.Answer(announceAnswer{err: h.notLeader()})
+		return
+	}
+	announce := state.Announce(e.request)
+	server, registered := h.machine.Registered(&announce)
+	if registered {
+		h.grant(server, e.reply)
+		return
+	}
+	h.propose(state.Command{Announce: &announce}, func(result state.Result, err error) {
+		if err == nil {
+			err = result.Refusal
+		}
+		h.log.Info("backend server announced", "instance", announce.Instance, "service", announce.Service,
+			"dataCentre", announce.DataCentre, "startID", announce.StartID, "backendServer", result.Server.ID,
+			"state", announce.State, "revision", result.Revision, "error", err)
+		if err != nil {
+			e.reply.Answer(announceAnswer{err: err})
+			return
+		}
+		h.grant(result.Server, e.reply)
+	})
+}
+
+// grant gives a backend server that was just announced a lease.
+func (h *handler) grant(server core.BackendServer, reply loop.Reply[announceAnswer]) {
+	h.leases.Grant(h.now, server)
+	reply.Answer(announceAnswer{reply: wire.AnnounceReply{
+		BackendServer: server.ID, Service: server.Service, Lease: h.leases.Period(),
+	}})
+}
+
+// heartbeatAnswer is the answer to heartbeats.
+type heartbeatAnswer struct {
+	reply wire.HeartbeatReply
+	err   error
+}
+
+// heartbeatEvent renews leases.
+type heartbeatEvent struct {
+	beats []membership.Heartbeat
+	reply loop.Reply[heartbeatAnswer]
+}
+
+func (e heartbeatEvent) handle(h *handler, now time.Time) {
+	if !h.leading {
+		e.reply.Answer(heartbeatAnswer{err: h.notLeader()})
+		return
+	}
+	var answer heartbeatAnswer
+	var reports []membership.Report
+	for _, beat := range e.beats {
+		changed, err := h.leases.Renew(now, h.machine.Members(), beat)
+		if err != nil {
+			answer.reply.Refused = append(answer.reply.Refused, refusalOf(beat, err))
+		}
+		if changed {
+			reports = append(reports, beat.Report)
+		}
+	}
+	e.reply.Answer(answer)
+	h.report(reports)
+}
+
+func refusalOf(beat membership.Heartbeat, err error) wire.HeartbeatRefusal {
+	var superseded *membership.SupersededError
+	return wire.HeartbeatRefusal{
+		BackendServer: beat.Report.BackendServer,
+		StartID:       beat.Report.StartID,
+		Superseded:    errors.As(err, &superseded),
+	}
+}
+
+// report proposes what heartbeats said that is new.
+func (h *handler) report(reports []membership.Report) {
+	if len(reports) == 0 {
+		return
+	}
+	h.propose(state.Command{Reports: reports}, func(result state.Result, err error) {
+		for _, report := range reports {
+			h.log.Info("backend server reported", "backendServer", report.BackendServer, "startID", report.StartID,
+				"state", report.State, "connections", report.Capacity.Connections, "slots", report.Capacity.Slots,
+				"revision", result.Revision, "refusal", result.Refusal, "error", err)
+		}
+	})
+}
+
+// departEvent is a backend server that leaves.
+type departEvent struct {
+	departure membership.Departure
+	reply     loop.Reply[error]
+}
+
+func (e departEvent) handle(h *handler, _ time.Time) {
+	if !h.leading {
+		e.reply.Answer(h.notLeader())
+		return
+	}
+	h.depart([]membership.Departure{e.departure}, "left", func(err error) {
+		var unknown *membership.UnknownError
+		if errors.As(err, &unknown) {
+			err = nil
+		}
+		e.reply.Answer(err)
+	})
+}
+
+// commandAnswer is what became of an operator's command.
+type commandAnswer struct {
+	result state.Result
+	err    error
+}
+
+// proposeFor proposes an operator's command, logs and answers.
+func (h *handler) proposeFor(command state.Command, reply loop.Reply[commandAnswer], message string, attributes ...any) {
+	if !h.leading {
+		reply.Answer(commandAnswer{err: h.notLeader()})
+		return
+	}
+	h.propose(command, func(result state.Result, err error) {
+		attributes = append(attributes, "revision", result.Revision, "refusal", result.Refusal, "error", err)
+		h.log.Info(message, attributes...)
+		reply.Answer(commandAnswer{result: result, err: err})
+	})
+}
--- a/control/server.go
+++ b/control/server.go
@@ -6,9 +6,14 @@
 import (
 	"context"
 	"log/slog"
+	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
+	"zinniapulley.dev/config"
+	"zinniapulley.dev/control/operator"
+	"zinniapulley.dev/control/state"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/loop"
 	"zinniapulley.dev/wire"
@@ -19,8 +24,9 @@
 	mailboxSize = 4096
 	// maxWatchWait bounds how long a watcher's answer is held back.
 	maxWatchWait = 10 * time.Second
-	// DefaultLease is how long an announcement of a backend server holds.
-	DefaultLease = 3 * time.Second
+	// operatorTimeout bounds how long an operator's request may take to arrive
+	// and its answer to leave.
+	operatorTimeout = 30 * time.Second
 )
 
 // Config sets up a control instance.
@@ -28,6 +34,8 @@
 	Instance core.InstanceID
 	// RPC is the TCP address for calls from other processes.
 	RPC netip.AddrPort
+	// Operators is the TCP address of the operators' interface. Invalid: none.
+	Operators netip.AddrPort
 	// HashSeed keys the hash from flows to buckets, for a new group.
 	HashSeed uint64
 	// InitialConfiguration is the document that a new group starts with.
@@ -37,33 +45,50 @@
 
 // Server is one control instance.
 type Server struct {
-	config  Config
-	loop    *loop.Loop[event]
-	handler *handler
-	rpc     *wire.Server
+	config    Config
+	loop      *loop.Loop[event]
+	handler   *handler
+	rpc       *wire.Server
+	operators net.Listener
 }
 
-// New opens the instance's address. Calls are answered once Run runs.
-func New(config Config) (*Server, error) {
-	server, err := wire.Listen(config.RPC)
+// New opens the instance's addresses. Calls are answered once Run runs. The
+// error of an invalid initial configuration lists every fault.
+func New(options Config) (*Server, error) {
+	first, err := bootstrap(options)
 	if err != nil {
 		return nil, err
 	}
-	machine := newMachine(config.HashSeed)
 	s := &Server{
-		config: config,
-		loop:   loop.New[event](mailboxSize),
-		handler: &handler{
-			log:     config.Log,
-			machine: machine,
-			order:   NewLocalLog(machine),
-			leases:  newLeases(),
-			lease:   DefaultLease,
-		},
-		rpc: server,
+		config:  options,
+		loop:    loop.New[event](mailboxSize),
+		handler: newHandler(options.Log, first),
 	}
-	err = server.Register("Control", &service{loop: s.loop, lifetime: context.Background()})
-	return s, err
+	s.handler.order = NewLocalLog(options.Instance, s.handler)
+	s.rpc, err = wire.Listen(options.RPC)
+	if err != nil {
+		return nil, err
+	}
+	err = s.rpc.Register("Control", &service{loop: s.loop, lifetime: context.Background()})
+	if err != nil {
+		return nil, err
+	}
+	if options.Operators.IsValid() {
+		s.operators, err = net.Listen("tcp4", options.Operators.String())
+	}
+	return s, core.At("listen for operators", core.Peer(options.Operators.String()), err)
+}
+
+// bootstrap returns the command that starts a new group, nil for none.
+func bootstrap(options Config) (*state.Bootstrap, error) {
+	if len(options.InitialConfiguration) == 0 {
+		return nil, nil
+	}
+	_, err := config.Parse(options.InitialConfiguration)
+	if err != nil {
+		return nil, core.At("check initial configuration", core.Peer(options.Instance), err)
+	}
+	return &state.Bootstrap{Document: options.InitialConfiguration, HashSeed: options.HashSeed}, nil
 }
 
 // RPC returns the TCP address of the instance.
@@ -71,56 +96,61 @@
 	return s.rpc.Address()
 }
 
+// Operators returns the TCP address of the operators' interface; invalid if
+// there is none.
+func (s *Server) Operators() netip.AddrPort {
+	if s.operators == nil {
+		return netip.AddrPort{}
+	}
+	return s.operators.Addr().(*net.TCPAddr).AddrPort()
+}
+
 // Run serves until ctx is done.
 func (s *Server) Run(ctx context.Context) error {
-	if len(s.config.InitialConfiguration) > 0 {
-		err := s.loop.Send(ctx, configureEvent{
-			document: s.config.InitialConfiguration,
-			reply:    loop.NewReply[configureAnswer](),
-		})
-		if err != nil {
-			return core.At("submit initial configuration", core.Peer(s.config.Instance), err)
-		}
-	}
 	go s.rpc.Serve(ctx)
+	if s.operators != nil {
+		stop := s.serveOperators()
+		defer stop()
+	}
+	err := s.loop.Send(ctx, startEvent{})
+	if err != nil {
+		return core.At("start", core.Peer(s.config.Instance), err)
+	}
 	s.loop.Run(ctx, s.handler)
 	return nil
 }
 
-// Configure submits a configuration document.
-func (s *Server) Configure(ctx context.Context, document []byte) (Result, error) {
-	answer, err := loop.Ask(ctx, s.loop, func(reply loop.Reply[configureAnswer]) event {
-		return configureEvent{document: document, reply: reply}
-	})
-	if err != nil {
-		return Result{}, core.At("submit configuration", core.Peer(s.config.Instance), err)
+// serveOperators serves the operators' interface until the returned function
+// is called.
+func (s *Server) serveOperators() func() {
+	server := &http.Server{
+		Handler:      operator.NewHandler(operators{loop: s.loop}),
+		ReadTimeout:  operatorTimeout,
+		WriteTimeout: operatorTimeout,
 	}
-	return answer.result, answer.err
+	go func() { _ = server.Serve(s.operators) }()
+	return func() { _ = server.Close() }
 }
 
-// service answers net/rpc calls by asking the control loop.
-type service struct {
-	loop     *loop.Loop[event]
-	lifetime context.Context
+// SetDataCentre puts a data centre in or out on behalf of a team.
+func (s *Server) SetDataCentre(ctx context.Context, request config.SetDataCentre) (state.Result, error) {
+	answer, err := loop.Ask(ctx, s.loop, func(reply loop.Reply[commandAnswer]) event {
+		return commandEvent{command: state.Command{SetDataCentre: &request}, reply: reply}
+	})
+	return answer.result, core.At("set data centre", core.Peer(s.config.Instance), either(err, answer.err))
 }
 
-// Watch answers wire.MethodWatch.
-func (s *service) Watch(request wire.WatchRequest, reply *wire.WatchReply) error {
-	answer, err := loop.Ask(s.lifetime, s.loop, func(r loop.Reply[wire.WatchReply]) event {
-		return watchEvent{request: request, reply: r}
-	})
-	*reply = answer
-	return err
+// startEvent lets the handler look at its log for the first time.
+type startEvent struct{}
+
+func (startEvent) handle(*handler, time.Time) {}
+
+// commandEvent is a command of the program that embeds the instance.
+type commandEvent struct {
+	command state.Command
+	reply   loop.Reply[commandAnswer]
 }
 
-// Announce answers wire.MethodAnnounce.
-func (s *service) Announce(request wire.AnnounceRequest, reply *wire.AnnounceReply) error {
-	answer, err := loop.Ask(s.lifetime, s.loop, func(r loop.Reply[announceAnswer]) event {
-		return announceEvent{request: request, reply: r}
-	})
-	if err != nil {
-		return err
-	}
-	*reply = answer.reply
-	return answer.err
+func (e commandEvent) handle(h *handler, _ time.Time) {
+	h.proposeFor(e.command, e.reply, "command", "request", describe(e.command))
 }
--- /dev/null
+++ b/control/state/machine.go
@@ -0,0 +1,212 @@
+package state
+
+import (
+	"zinniapulley.dev/config"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/membership"
+)
+
+// Machine is the replicated state. It isn't safe for concurrent use.
+type Machine struct {
+	config   *config.State
+	members  *membership.State
+	tables   *tables
+	seed     uint64
+	revision core.Revision
+	view     *core.View
+}
+
+// New returns the state of a deployment that has no configuration yet.
+func New() *Machine {
+	return &Machine{
+		config:  config.NewState(),
+		members: membership.NewState(),
+		tables:  newTables(),
+		view:    &core.View{},
+	}
+}
+
+// View returns the state as published. It is never modified.
+func (m *Machine) View() *core.View {
+	return m.view
+}
+
+// Config returns the accepted configuration, to be read only.
+func (m *Machine) Config() *config.State {
+	return m.config
+}
+
+// Members returns the registered backend servers, to be read only.
+func (m *Machine) Members() *membership.State {
+	return m.members
+}
+
+// Apply carries out one command. A command that is refused changes nothing
+// that is published.
+func (m *Machine) Apply(command Command) Result {
+	result, changed := m.apply(command)
+	if changed {
+		m.revision++
+		m.view = m.publish()
+	}
+	result.Revision = m.revision
+	if result.Server.ID != 0 {
+		result.Server = m.published(result.Server)
+	}
+	return result
+}
+
+// apply changes the state and reports whether a new revision is due.
+func (m *Machine) apply(command Command) (Result, bool) {
+	switch {
+	case command.Bootstrap != nil:
+		return m.bootstrap(command.Bootstrap)
+	case command.Submit != nil:
+		return m.configured(m.config.Submit(m.revision+1, *command.Submit))
+	case command.SetDataCentre != nil:
+		return m.configured(m.config.SetDataCentre(m.revision+1, *command.SetDataCentre))
+	case command.Announce != nil:
+		return m.announce(command.Announce)
+	case len(command.Reports) > 0:
+		return m.report(command.Reports)
+	case len(command.Departures) > 0:
+		return m.depart(command.Departures)
+	case command.Drain != nil:
+		return m.drain(command.Drain)
+	default:
+		return Result{Refusal: EmptyCommandError{}}, false
+	}
+}
+
+func (m *Machine) bootstrap(command *Bootstrap) (Result, bool) {
+	if !m.config.Empty() {
+		return Result{Refusal: &AlreadyStartedError{Revision: m.revision}}, false
+	}
+	document, err := config.Parse(command.Document)
+	if err != nil {
+		return Result{Refusal: err}, false
+	}
+	m.seed = command.HashSeed
+	m.config.Bootstrap(m.revision+1, document)
+	return Result{}, true
+}
+
+// configured takes backend servers of removed services out. A resend of an
+// accepted submission changes nothing, which its older revision shows.
+func (m *Machine) configured(answer config.Answer) (Result, bool) {
+	result := Result{Answer: answer, Refusal: answer.Err()}
+	if answer.Outcome != config.Accepted || answer.Revision <= m.revision {
+		return result, false
+	}
+	for _, server := range m.members.Servers() {
+		_, stays := m.config.ServiceName(server.Service)
+		if !stays {
+			result.Departed = append(result.Departed, server)
+			m.members.RemoveService(server.Service)
+		}
+	}
+	return result, true
+}
+
+func (m *Machine) announce(command *Announce) (Result, bool) {
+	announcement, err := m.announcement(command)
+	if err != nil {
+		return Result{Refusal: err}, false
+	}
+	before, known := m.members.ByInstance(command.Instance)
+	after, err := m.members.Announce(announcement)
+	if err != nil {
+		return Result{Refusal: err}, false
+	}
+	return Result{Server: after}, !known || before != after
+}
+
+func (m *Machine) announcement(command *Announce) (membership.Announcement, error) {
+	service, configured := m.config.ServiceID(command.Service)
+	if !configured {
+		return membership.Announcement{}, &UnknownServiceError{Instance: command.Instance, Service: command.Service}
+	}
+	_, configured = m.config.Document().DataCentres[command.DataCentre]
+	if !configured {
+		return membership.Announcement{}, &UnknownDataCentreError{Instance: command.Instance, DataCentre: command.DataCentre}
+	}
+	return membership.Announcement{
+		Instance: command.Instance, Service: service, DataCentre: command.DataCentre, StartID: command.StartID,
+		Packets: command.Packets, RPC: command.RPC, Capacity: command.Capacity, State: command.State,
+	}, nil
+}
+
+// report applies each report that is still true of a registered start; the
+// others are about backend servers that have changed meanwhile.
+func (m *Machine) report(reports []membership.Report) (Result, bool) {
+	changed := false
+	var refusal error
+	for _, report := range reports {
+		before, _ := m.members.Server(report.BackendServer)
+		err := m.members.Report(report)
+		if err != nil {
+			refusal = err
+			continue
+		}
+		after, _ := m.members.Server(report.BackendServer)
+		changed = changed || before != after
+	}
+	return Result{Refusal: refusal}, changed
+}
+
+func (m *Machine) depart(departures []membership.Departure) (Result, bool) {
+	var result Result
+	for _, departure := range departures {
+		server, _ := m.members.Server(departure.BackendServer)
+		err := m.members.Depart(departure)
+		if err != nil {
+			result.Refusal = err
+			continue
+		}
+		result.Departed = append(result.Departed, server)
+	}
+	return result, len(result.Departed) > 0
+}
+
+func (m *Machine) drain(command *Drain) (Result, bool) {
+	err := m.mayDrain(command)
+	if err != nil {
+		return Result{Refusal: err}, false
+	}
+	before, _ := m.members.ByInstance(command.Instance)
+	err = m.members.Drain(command.Instance, command.Drain)
+	after, _ := m.members.ByInstance(command.Instance)
+	return Result{Refusal: err, Server: after}, err == nil && before != after
+}
+
+// mayDrain refuses a team that doesn't own the service. For an instance that
+// isn't registered, the owner of section dataCentres decides.
+func (m *Machine) mayDrain(command *Drain) error {
+	section := config.SectionDataCentres
+	server, _ := m.members.ByInstance(command.Instance)
+	name, registered := m.config.ServiceName(server.Service)
+	if registered {
+		section = config.ServiceSection(name)
+	}
+	owner, _ := m.config.Document().Owner(section)
+	operators, _ := m.config.Document().Owner(config.SectionDataCentres)
+	if command.Team == owner || command.Team == operators {
+		return nil
+	}
+	return &ForbiddenError{Team: command.Team, Owner: owner, Subject: "backend server of instance " + string(command.Instance)}
+}
+
+// Registered returns a backend server that is registered just as announced, and
+// false when the announcement would change anything.
+func (m *Machine) Registered(command *Announce) (core.BackendServer, bool) {
+	announcement, err := m.announcement(command)
+	if err != nil {
+		return core.BackendServer{}, false
+	}
+	server, known := m.members.ByInstance(command.Instance)
+	if !known || server.StartID != announcement.StartID || server.Service != announcement.Service ||
+		server.Packets != announcement.Packets || server.RPC != announcement.RPC {
+		return core.BackendServer{}, false
+	}
+	return m.published(server), true
+}
--- /dev/null
+++ b/control/state/snapshot.go
@@ -0,0 +1,45 @@
+package state
+
+import (
+	"zinniapulley.dev/config"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/membership"
+)
+
+// Snapshot is a Machine in a form that any codec can write: equal states give
+// equal snapshots.
+type Snapshot struct {
+	Config   config.Snapshot
+	Members  membership.Snapshot
+	HashSeed uint64
+	Revision core.Revision
+}
+
+// Snapshot returns the machine's snapshot. It shares no memory that the machine
+// later writes to.
+func (m *Machine) Snapshot() Snapshot {
+	return Snapshot{
+		Config:   m.config.Snapshot(),
+		Members:  m.members.Snapshot(),
+		HashSeed: m.seed,
+		Revision: m.revision,
+	}
+}
+
+// Restore returns the machine of a snapshot. It fails when the snapshot's
+// configuration is invalid.
+func Restore(snapshot Snapshot) (*Machine, error) {
+	configuration, err := config.Restore(snapshot.Config)
+	if err != nil {
+		return nil, err
+	}
+	m := New()
+	m.config = configuration
+	m.members = membership.Restore(snapshot.Members)
+	m.seed = snapshot.HashSeed
+	m.revision = snapshot.Revision
+	if m.revision > 0 {
+		m.view = m.publish()
+	}
+	return m, nil
+}
--- a/core/strictjson/decode.go
+++ b/core/strictjson/decode.go
@@ -54,9 +54,15 @@
 	d.faults = append(d.faults, NewFault(path, problem))
 }
 
-// value decodes one JSON value, which is known to be well-formed.
+// value decodes one JSON value, which is known to be well-formed. A
+// json.RawMessage takes any value as it is.
 func (d *decoder) value(path string, raw json.RawMessage, target reflect.Value) {
 	raw = bytes.TrimSpace(raw)
+	verbatim, ok := target.Addr().Interface().(*json.RawMessage)
+	if ok {
+		*verbatim = bytes.Clone(raw)
+		return
+	}
 	if bytes.Equal(raw, []byte("null")) {
 		d.add(path, "must not be null")
 		return
--- a/publish/source.go
+++ b/publish/source.go
@@ -236,6 +236,13 @@
 	return Delivery{Waiter: first.waiter, Answer: answer}
 }
 
+// Drop forgets all that wait, and the confirmation: the source no longer
+// answers for the group.
+func (s *Source) Drop() {
+	s.waiters = nil
+	s.confirmed = time.Time{}
+}
+
 // Next returns when the first waiter's time is up, and false if none waits.
 func (s *Source) Next() (time.Time, bool) {
 	if len(s.waiters) == 0 {
