Keep views current by deltas, relays and confirmed floors

Cause: subscribers took any view at or above what they had in memory, always whole, and only from control; companions announced in full each second.

Change: a Subscription is part of a process's control state: it takes deltas, asks a relay of its data centre when control names one, turns back to control when a relay fails, lags or has no fresh confirmation, and takes no first view before a quorum has named a floor (or its floor file has). Entry instances with an RPC address pass views on and gather reports and heartbeats. Companions announce once, then send heartbeats, and depart when they stop.

--- a/companion/companion.go
+++ b/companion/companion.go
@@ -87,26 +87,32 @@
 		c.traffic.run(ctx)
 	}()
 	go c.traffic.read()
-	go c.subscribe(ctx)
-	announcer := newAnnouncer(c.config, c.Packets(), c.loop)
-	go announcer.run(ctx)
-	c.loop.Run(ctx, newControl(c.config, c.traffic))
+	subscription := c.subscription()
+	go subscriber.Run(ctx, subscription, c.postSubscription)
+	announcerDone := make(chan struct{})
+	go func() {
+		defer close(announcerDone)
+		newAnnouncer(c.config, c.Packets(), c.loop).run(ctx)
+	}()
+	c.loop.Run(ctx, newControl(c.config, c.traffic, subscription))
+	<-announcerDone
 	c.stack.Close()
 	<-trafficDone
 	return core.At("close packets", core.Peer(c.config.Instance), c.conn.Close())
 }
 
-func (c *Companion) subscribe(ctx context.Context) {
-	config := subscriber.Config{
+func (c *Companion) subscription() subscriber.Config {
+	return subscriber.Config{
 		Instance:   c.config.Instance,
 		DataCentre: c.config.DataCentre,
 		Controls:   c.config.Controls,
 		Log:        c.config.Log,
 	}
-	err := subscriber.Run(ctx, config, func(ctx context.Context, view *core.View) error {
-		return c.loop.Send(ctx, viewArrived{view: view})
-	})
-	c.config.Log.Info("subscription ended", "error", err)
+}
+
+// postSubscription hands an event of the subscription to the control loop.
+func (c *Companion) postSubscription(ctx context.Context, e subscriber.Event) error {
+	return c.loop.Send(ctx, subscriptionEvent{event: e})
 }
 
 // startID returns an identifier of this start of the backend server.
--- a/companion/control.go
+++ b/companion/control.go
@@ -2,11 +2,15 @@
 
 import (
 	"log/slog"
+	"net/netip"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/flow"
+	"zinniapulley.dev/loop"
+	"zinniapulley.dev/membership"
+	"zinniapulley.dev/subscriber"
 	"zinniapulley.dev/wire"
 )
 
@@ -23,17 +27,22 @@
 	traffic  *traffic
 	view     *core.View
 	identity wire.AnnounceReply
+	startID  core.StartID
 	revision metrics.Gauge
+	// subscription keeps the view current.
+	subscription *subscriber.Subscription
 }
 
-func newControl(config Config, traffic *traffic) *control {
-	return &control{
+func newControl(config Config, traffic *traffic, subscription subscriber.Config) *control {
+	c := &control{
 		log:      config.Log,
 		config:   config,
 		traffic:  traffic,
 		view:     &core.View{},
 		revision: metrics.GetOrRegisterGauge("revision", config.Metrics),
 	}
+	c.subscription = subscriber.New(subscription, c.putInForce)
+	return c
 }
 
 // Handle carries out one event.
@@ -41,44 +50,78 @@
 	e.handle(c, now)
 }
 
-// Wake has nothing to do: the companion's control loop has no deadlines.
-func (c *control) Wake(time.Time) {}
+// Wake does what the subscription is due to do.
+func (c *control) Wake(now time.Time) {
+	c.subscription.Wake(now)
+}
 
-// Deadline reports that there is none.
+// Deadline returns when the subscription is due next, and false if it isn't.
 func (c *control) Deadline() (time.Time, bool) {
-	return time.Time{}, false
+	return c.subscription.Deadline()
 }
 
-// viewArrived is a view from a control instance.
-type viewArrived struct {
-	view *core.View
+// subscriptionEvent is an event of the subscription.
+type subscriptionEvent struct {
+	event subscriber.Event
 }
 
-func (e viewArrived) handle(c *control, _ time.Time) {
-	if e.view.Revision <= c.view.Revision {
-		return
-	}
-	c.view = e.view
-	c.revision.Update(int64(e.view.Revision))
-	c.log.Info("view in force", "revision", e.view.Revision, "services", len(e.view.Services),
-		"backendServers", len(e.view.BackendServers))
+func (e subscriptionEvent) handle(c *control, now time.Time) {
+	c.subscription.Handle(now, e.event)
+}
+
+// putInForce takes a newer view.
+func (c *control) putInForce(_ time.Time, view *core.View) {
+	c.view = view
+	c.revision.Update(int64(view.Revision))
 	c.inform()
 }
 
 // announced is the answer of a control instance to an announcement.
 type announced struct {
-	reply wire.AnnounceReply
+	reply   wire.AnnounceReply
+	startID core.StartID
 }
 
 func (e announced) handle(c *control, _ time.Time) {
 	if e.reply == c.identity {
 		return
 	}
-	c.identity = e.reply
+	c.identity, c.startID = e.reply, e.startID
 	c.log.Info("backend server registered", "backendServer", e.reply.BackendServer, "service", e.reply.Service)
 	c.inform()
 }
 
+// beat asks what the next heartbeat says and whom it goes to.
+type beat struct {
+	reply loop.Reply[heartbeat]
+}
+
+// heartbeat is what a heartbeat says. Without a relay, control itself gets it.
+type heartbeat struct {
+	report   membership.Report
+	relay    netip.AddrPort
+	hasRelay bool
+}
+
+func (e beat) handle(c *control, _ time.Time) {
+	next := heartbeat{report: membership.Report{
+		BackendServer: c.identity.BackendServer,
+		StartID:       c.startID,
+		Capacity:      c.config.Capacity,
+		State:         core.BackendServing,
+	}}
+	next.relay, next.hasRelay = c.subscription.Relay()
+	e.reply.Answer(next)
+}
+
+// superseded says that a later start has replaced this one.
+type superseded struct{}
+
+func (superseded) handle(c *control, _ time.Time) {
+	c.log.Error("this start of the backend server was replaced by a later one; it is no longer announced",
+		"instance", c.config.Instance, "backendServer", c.identity.BackendServer, "startID", c.startID)
+}
+
 // inform hands the traffic goroutine what it needs of the control state.
 func (c *control) inform() {
 	if c.identity.BackendServer == 0 {
--- a/control/publication.go
+++ b/control/publication.go
@@ -47,7 +47,7 @@
 		return
 	}
 	h.tracker.Report(now, publish.Report{
-		Instance: e.request.Instance, DataCentre: e.request.DataCentre, Revision: e.request.Have.Have,
+		Instance: e.request.Instance, DataCentre: e.request.DataCentre, Revision: e.request.Acknowledged,
 	})
 	routes := h.relays.Route(now, publish.Candidate{
 		Instance: e.request.Instance, DataCentre: e.request.DataCentre, Address: e.request.Relay,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"zinniapulley.dev/flow"
 	"zinniapulley.dev/loop"
 	"zinniapulley.dev/subscriber"
+	"zinniapulley.dev/wire"
 )
 
 // mailboxSize is the length of the control loop's mailbox in events.
@@ -27,6 +28,12 @@
 	DataCentre core.DataCentre
 	// Packets is the UDP address at which the fabric delivers packets.
 	Packets netip.AddrPort
+	// RPC is the TCP address at which the entry instance passes views on to
+	// others of its data centre. Invalid: it doesn't.
+	RPC netip.AddrPort
+	// FloorFile keeps the newest revision that was in force, for an instance
+	// with a disk. Empty: none.
+	FloorFile string
 	// Controls lists the RPC addresses of the control instances.
 	Controls []netip.AddrPort
 	Log      *slog.Logger
@@ -38,7 +45,8 @@
 	config     Config
 	conn       *net.UDPConn
 	forwarding atomic.Pointer[flow.Forwarding]
-	loop       *loop.Loop[viewArrived]
+	loop       *loop.Loop[subscriber.Event]
+	rpc        *wire.Server
 	traffic    *traffic
 }
 
@@ -51,12 +59,31 @@
 	e := &Entry{
 		config: config,
 		conn:   conn,
-		loop:   loop.New[viewArrived](mailboxSize),
+		loop:   loop.New[subscriber.Event](mailboxSize),
 	}
 	e.traffic = newTraffic(conn, &e.forwarding, config)
+	err = e.listen()
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
 	return e, nil
 }
 
+// listen opens the address for other processes, if there is one.
+func (e *Entry) listen() error {
+	if !e.config.RPC.IsValid() {
+		return nil
+	}
+	server, err := wire.Listen(e.config.RPC)
+	if err != nil {
+		return err
+	}
+	e.rpc = server
+	e.config.RPC = server.Address()
+	return subscriber.Register(server, e.loop.Send)
+}
+
 // Packets returns the UDP address of the entry instance.
 func (e *Entry) Packets() netip.AddrPort {
 	return e.conn.LocalAddr().(*net.UDPAddr).AddrPort()
@@ -70,8 +97,9 @@
 		defer close(trafficDone)
 		e.traffic.run()
 	}()
-	go e.subscribe(ctx)
-	e.loop.Run(ctx, &control{entry: e})
+	subscription := e.subscription()
+	e.subscribe(ctx, subscription)
+	e.loop.Run(ctx, subscriber.New(subscription, e.putInForce))
 	err := e.conn.SetReadDeadline(time.Now())
 	<-trafficDone
 	closeErr := e.conn.Close()
@@ -81,46 +109,29 @@
 	return core.At("stop entry", core.Peer(e.config.Instance), err)
 }
 
-func (e *Entry) subscribe(ctx context.Context) {
-	config := subscriber.Config{
+func (e *Entry) subscription() subscriber.Config {
+	return subscriber.Config{
 		Instance:   e.config.Instance,
 		DataCentre: e.config.DataCentre,
 		Controls:   e.config.Controls,
+		Relay:      e.config.RPC,
+		FloorFile:  e.config.FloorFile,
 		Log:        e.config.Log,
 	}
-	err := subscriber.Run(ctx, config, func(ctx context.Context, view *core.View) error {
-		return e.loop.Send(ctx, viewArrived{view: view})
-	})
-	e.config.Log.Info("subscription ended", "error", err)
-}
-
-// viewArrived is the one event of an entry instance's control loop.
-type viewArrived struct {
-	view *core.View
 }
 
-// control owns the control state of an entry instance.
-type control struct {
-	entry    *Entry
-	revision core.Revision
-}
-
-// Handle puts a newer view in force.
-func (c *control) Handle(_ time.Time, event viewArrived) {
-	if event.view.Revision <= c.revision {
-		return
+// subscribe starts the goroutines that make the subscription's calls.
+func (e *Entry) subscribe(ctx context.Context, config subscriber.Config) {
+	go subscriber.Run(ctx, config, e.loop.Send)
+	if e.rpc != nil {
+		go e.rpc.Serve(ctx)
+		go subscriber.RunRelay(ctx, config, e.loop.Send)
 	}
-	c.revision = event.view.Revision
-	c.entry.forwarding.Store(flow.Compile(event.view))
-	metrics.GetOrRegisterGauge("revision", c.entry.config.Metrics).Update(int64(c.revision))
-	c.entry.config.Log.Info("view in force", "revision", c.revision,
-		"services", len(event.view.Services), "backendServers", len(event.view.BackendServers))
 }
 
-// Wake has nothing to do: an entry instance has no deadlines.
-func (c *control) Wake(time.Time) {}
-
-// Deadline reports that there is none.
-func (c *control) Deadline() (time.Time, bool) {
-	return time.Time{}, false
+// putInForce hands a newer view to the traffic goroutines. The control loop
+// calls it.
+func (e *Entry) putInForce(_ time.Time, view *core.View) {
+	e.forwarding.Store(flow.Compile(view))
+	metrics.GetOrRegisterGauge("revision", e.config.Metrics).Update(int64(view.Revision))
 }
--- a/membership/announcement.go
+++ b/membership/announcement.go
@@ -16,7 +16,8 @@
 	DataCentre core.DataCentre
 	// StartID differs from one start of the backend server to the next.
 	StartID core.StartID
-	// Packets and RPC are the companion's addresses, UDP and TCP.
+	// Packets and RPC are the companion's addresses, UDP and TCP. An invalid
+	// RPC stands for none.
 	Packets  netip.AddrPort
 	RPC      netip.AddrPort
 	Capacity core.Capacity
@@ -130,8 +131,10 @@
 		problem = "names no data centre"
 	case a.StartID == 0:
 		problem = "has no start ID"
-	case !usable(a.Packets) || !usable(a.RPC):
-		problem = "needs an IPv4 address and port for packets and for RPC"
+	case !usable(a.Packets):
+		problem = "needs an IPv4 address and port for packets"
+	case a.RPC.IsValid() && !usable(a.RPC):
+		problem = "needs an IPv4 address and port for RPC, or none"
 	case a.Capacity.Connections < 0 || a.Capacity.Slots < 0:
 		problem = "has a negative capacity"
 	case !announceable(a.State):
--- a/membership/state.go
+++ b/membership/state.go
@@ -181,7 +181,9 @@
 
 func (s *State) index(server core.BackendServer) {
 	s.byPackets[server.Packets] = server.ID
-	s.byRPC[server.RPC] = server.ID
+	if server.RPC.IsValid() {
+		s.byRPC[server.RPC] = server.ID
+	}
 }
 
 func (s *State) unindex(server core.BackendServer) {
--- a/publish/follower.go
+++ b/publish/follower.go
@@ -92,9 +92,9 @@
 // Request returns what to ask a source for.
 func (f *Follower) Request() Request {
 	if f.whole {
-		return Request{}
+		return Request{Floor: max(f.floor, f.view.Revision)}
 	}
-	return Request{Have: f.view.Revision, Digest: f.digest}
+	return Request{Have: f.view.Revision, Digest: f.digest, Floor: f.floor}
 }
 
 // Take takes an answer. sent is when the request was sent that it answers: the
--- a/publish/source.go
+++ b/publish/source.go
@@ -23,6 +23,8 @@
 	Have core.Revision
 	// Digest is that of its view.
 	Digest Digest
+	// Floor is the revision that the subscriber takes nothing older than.
+	Floor core.Revision
 }
 
 // Answer is what a source sends to a subscriber. At most one of Delta and View
@@ -132,10 +134,14 @@
 }
 
 // Answer returns the answer to a request as things stand. It reports whether
-// the answer carries something newer.
+// there is no point in waiting: the answer carries something newer, or this
+// source is behind what the subscriber needs.
 func (s *Source) Answer(now time.Time, request Request) (Answer, bool) {
 	answer := s.bare(now)
-	if request.Have > s.view.Revision || s.view.Revision == 0 {
+	if max(request.Have, request.Floor) > s.view.Revision {
+		return answer, true
+	}
+	if s.view.Revision == 0 {
 		return answer, false
 	}
 	if request.Have == s.view.Revision && request.Digest == s.digest {
@@ -195,13 +201,13 @@
 	return 0
 }
 
-// Wait answers a request at once if there is something newer, and otherwise
+// Wait answers a request at once if there is no point in waiting, and otherwise
 // lets the subscriber wait until then or until the given time. It reports
 // whether it answered. When too many wait already, it answers at once and
 // counts a refusal.
 func (s *Source) Wait(now time.Time, waiter WaiterID, request Request, until time.Time) (Answer, bool) {
-	answer, newer := s.Answer(now, request)
-	if newer || !until.After(now) {
+	answer, ready := s.Answer(now, request)
+	if ready || !until.After(now) {
 		return answer, true
 	}
 	if len(s.waiters) >= MaxWaiters {
--- a/wire/control.go
+++ b/wire/control.go
@@ -43,7 +43,10 @@
 	// Relay is the TCP address at which the caller can pass views on to others
 	// of its data centre. Invalid: it can't.
 	Relay netip.AddrPort
-	Have  publish.Request
+	// Have is the view that the caller has.
+	Have publish.Request
+	// Acknowledged is the revision that the caller reports as in force.
+	Acknowledged core.Revision
 	// Wait is how long the answer may be held back while nothing is newer.
 	Wait time.Duration
 	// Direct asks for an answer even if relays could give it.
