--- a/relay/tcpstack/link.go
+++ b/relay/tcpstack/link.go
@@ -36,9 +36,9 @@
 	finWait = 5 * time.Second
 	// maxRetries is how often a packet is sent again before the flow ends.
 	maxRetries = 10
-	// DefaultMTU is the default size in bytes of the largest IPv4 packet. It
-	// leaves room for the encapsulation in an Ethernet frame.
-	DefaultMTU = 1360
+	// DefaultMTU is the default size in bytes of the largest IPv4 packet. With
+	// the longest encapsulation it fits in an Ethernet frame's 1,500 bytes.
+	DefaultMTU = 1336
 )
 
 // Link is a TCP stack with one network interface that takes any address.
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -64,6 +64,15 @@
 	return &Conn{TCPConn: conn, key: core.FlowKey{Caller: bound, Service: service}, link: s.link}, nil
 }
 
+// Free returns an error while the stack still holds something of a flow, so
+// that its key can't be used again.
+func (s *Stack) Free(key core.FlowKey) error {
+	if find(s.link, key) != nil {
+		return errors.AlreadyExistsf("flow %v", key)
+	}
+	return nil
+}
+
 // Close ends all flows without a word to the services.
 func (s *Stack) Close() {
 	s.link.Close()
@@ -76,13 +85,7 @@
 
 // Abort resets the flow.
 func (c *Conn) Abort() {
-	id := stack.TransportEndpointID{
-		LocalAddress:  tcpip.AddrFrom4(c.key.Caller.Addr().As4()),
-		LocalPort:     c.key.Caller.Port(),
-		RemoteAddress: tcpip.AddrFrom4(c.key.Service.Addr().As4()),
-		RemotePort:    c.key.Service.Port(),
-	}
-	endpoint := c.link.Stack.FindTransportEndpoint(ipv4.ProtocolNumber, tcp.ProtocolNumber, id, tcpstack.NIC)
+	endpoint := find(c.link, c.key)
 	if endpoint != nil {
 		endpoint.Abort()
 	}
@@ -91,3 +94,14 @@
 func full(addr netip.AddrPort) tcpip.FullAddress {
 	return tcpip.FullAddress{NIC: tcpstack.NIC, Addr: tcpip.AddrFrom4(addr.Addr().As4()), Port: addr.Port()}
 }
+
+// find returns what the stack holds of a flow, nil if that is nothing.
+func find(link *tcpstack.Link, key core.FlowKey) stack.TransportEndpoint {
+	id := stack.TransportEndpointID{
+		LocalAddress:  tcpip.AddrFrom4(key.Caller.Addr().As4()),
+		LocalPort:     key.Caller.Port(),
+		RemoteAddress: tcpip.AddrFrom4(key.Service.Addr().As4()),
+		RemotePort:    key.Service.Port(),
+	}
+	return link.Stack.FindTransportEndpoint(ipv4.ProtocolNumber, tcp.ProtocolNumber, id, tcpstack.NIC)
+}
--- a/standin/fabric/fabric.go
+++ b/standin/fabric/fabric.go
@@ -92,9 +92,9 @@
 	if !address.Addr().IsLoopback() {
 		return nil, errors.NotValidf("fabric's return address %v", address)
 	}
-	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	socket, err := geneve.Listen(address)
 	if err != nil {
-		return nil, core.At("listen", core.Peer(address.String()), err)
+		return nil, err
 	}
 	f := &Fabric{
 		socket:   socket,
--- a/standin/path_test.go
+++ b/standin/path_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,7 +85,7 @@
 
 func listen(t testing.TB) *net.UDPConn {
 	t.Helper()
-	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	socket, err := geneve.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -156,6 +157,12 @@
 	return causes
 }
 
+func (p *path) closedTimes(key core.FlowKey) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed[key]
+}
+
 func (p *path) dial(t testing.TB) *caller.Conn {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -185,7 +192,7 @@
 	got, err := io.ReadAll(conn)
 	writer.Wait()
 	if err != nil {
-		t.Fatal(err)
+		t.Error(err)
 	}
 	return sent, got
 }
@@ -214,3 +221,127 @@
 		})
 	}
 }
+
+func TestNothingIsFragmented(t *testing.T) {
+	const ethernet, outerHeaders = 1500, 20 + 8
+	g := gomega.NewWithT(t)
+	g.Expect(tcpstack.DefaultMTU + geneve.MaxOverhead + outerHeaders).To(gomega.BeNumerically("<=", ethernet))
+}
+
+func TestCallerResetReachesTheBackendServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPath(t, tcpstack.Options{}, 1)
+	conn := p.dial(t)
+	_, err := conn.Write([]byte("lid"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.ReadFull(conn, make([]byte, 3))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	conn.Abort()
+	g.Eventually(p.causes, patience).Should(gomega.Equal([]relay.Cause{relay.CauseCallerReset}))
+	g.Eventually(p.echo.Open, patience).Should(gomega.BeZero())
+	g.Eventually(p.terminator.Flows, patience).Should(gomega.BeZero())
+	g.Eventually(func() int { return p.closedTimes(conn.Key()) }, patience).Should(gomega.Equal(1))
+}
+
+func TestBackendResetReachesTheCaller(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPath(t, tcpstack.Options{}, 1)
+	conn := p.dial(t)
+	_, err := conn.Write([]byte("lid"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.ReadFull(conn, make([]byte, 3))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	p.echo.Close()
+	_, err = conn.Read(make([]byte, 1))
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("reset")))
+	g.Eventually(p.causes, patience).Should(gomega.Equal([]relay.Cause{relay.CauseBackendReset}))
+	g.Eventually(p.terminator.Flows, patience).Should(gomega.BeZero())
+}
+
+func TestMissingBackendServerIsAReset(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPath(t, tcpstack.Options{}, 1)
+	p.echo.Close()
+	conn := p.dial(t)
+	_, err := conn.Read(make([]byte, 1))
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("reset")))
+	g.Eventually(p.terminator.Flows, patience).Should(gomega.BeZero())
+}
+
+func TestContextCutsAFlow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPath(t, tcpstack.Options{}, 1)
+	var cancel context.CancelFunc
+	p.cut, cancel = context.WithCancel(context.Background())
+	conn := p.dial(t)
+	_, err := conn.Write([]byte("lid"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.ReadFull(conn, make([]byte, 3))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	cancel()
+	_, err = conn.Read(make([]byte, 1))
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("reset")))
+	g.Eventually(p.causes, patience).Should(gomega.Equal([]relay.Cause{relay.CauseCut}))
+}
+
+// A caller whose answer is still on its way has closed its half: the echo
+// server sees the end only after all bytes, and its answer still arrives.
+func TestHalfCloseIsKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPath(t, tcpstack.Options{}, 1)
+	conn := p.dial(t)
+	_, err := conn.Write([]byte("lid"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(conn.CloseWrite()).To(gomega.Succeed())
+	got, err := io.ReadAll(conn)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(got)).To(gomega.Equal("lid"))
+	g.Eventually(p.causes, patience).Should(gomega.Equal([]relay.Cause{relay.CauseClosed}))
+}
+
+func TestKeyCanBeUsedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPath(t, tcpstack.Options{}, 1)
+	from := netip.AddrPortFrom(callerAddress, 40_000)
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		conn, err := p.callers.DialFrom(ctx, from, serviceAddress)
+		cancel()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		sent, got := exchange(t, conn, 1000)
+		g.Expect(bytes.Equal(got, sent)).To(gomega.BeTrue())
+		_ = conn.Close()
+		g.Eventually(p.terminator.Flows, patience).Should(gomega.BeZero())
+		// The caller's stack keeps its key for a while after its close.
+		g.Eventually(func() error { return p.callers.Free(conn.Key()) }, patience).Should(gomega.Succeed())
+	}
+	g.Expect(p.closedTimes(core.FlowKey{Caller: from, Service: serviceAddress})).To(gomega.Equal(2))
+}
+
+func TestManyFlowsAtOnce(t *testing.T) {
+	const count = 200
+	g := gomega.NewWithT(t)
+	p := newPath(t, tcpstack.Options{}, 3)
+	var flows sync.WaitGroup
+	var whole atomic.Int64
+	for range count {
+		flows.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			conn, err := p.callers.Dial(ctx, callerAddress, serviceAddress)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			sent, got := exchange(t, conn, 5000)
+			_ = conn.Close()
+			if bytes.Equal(sent, got) {
+				whole.Add(1)
+			}
+		})
+	}
+	flows.Wait()
+	g.Expect(whole.Load()).To(gomega.BeEquivalentTo(count))
+	g.Expect(p.echo.WrongService()).To(gomega.BeZero())
+	g.Eventually(p.terminator.Flows, patience).Should(gomega.BeZero())
+}
--- a/wire/geneve/geneve.go
+++ b/wire/geneve/geneve.go
@@ -24,6 +24,10 @@
 // MaxOptionsLen is the most bytes of Geneve options that a datagram may have.
 const MaxOptionsLen = 128
 
+// MaxOverhead is the most bytes by which a datagram is longer than its inner
+// packet, the outer IPv4 and UDP headers not counted.
+const MaxOverhead = headerLen + MaxOptionsLen
+
 // headerLen is the length in bytes of the Geneve header without options.
 const headerLen = 8
 
