Stop an entry instance once the fabric has turned elsewhere

Cause: an entry instance that got SIGTERM dropped the packets in its socket, and its packet path waited for the log's writer.

Change: on a stop, it goes on until no packet has come for a second, or until the stop deadline or a second signal, and logs whether packets still came. asynclog queues the packet path's log lines for a writer of their own; lines that find the queue full are dropped and counted in the next one. Datagrams with another virtual network identifier than the settings' are dropped and counted. serve lets a role say what it cut.

--- a/cmd/zinniapulley/roles.go
+++ b/cmd/zinniapulley/roles.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"os"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
@@ -60,9 +61,12 @@
 		Instance:   p.settings.Instance,
 		DataCentre: p.settings.DataCentre,
 		Packets:    p.settings.Entry.Packets,
+		Network:    p.settings.Entry.Network,
 		Controls:   p.settings.Controls,
 		Log:        p.log,
 		Metrics:    p.metrics,
+
+		StopDeadline: time.Duration(p.settings.StopDeadline),
 	})
 	if err != nil {
 		return err
--- a/cmd/zinniapulley/serve.go
+++ b/cmd/zinniapulley/serve.go
@@ -20,8 +20,11 @@
 // errCut reports that a stop could not wait for everything to end.
 const errCut = errors.ConstError("stopped before all work had ended")
 
+// cutTime is how long a role may take to end once it is cut.
+const cutTime = 3 * time.Second
+
 // serve runs the role until a signal asks it to stop. A second signal, or the
-// stop deadline, ends the process at once.
+// stop deadline, cuts what still runs.
 func serve(p process, r role) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -42,11 +45,11 @@
 		p.log.Info("stopping", "signal", received.String(), "deadline", time.Duration(p.settings.StopDeadline))
 	}
 	cancel()
-	return awaitEnd(p, ended, signals)
+	return awaitEnd(p, r, ended, signals)
 }
 
 // awaitEnd waits for the role to end, for a second signal or the deadline.
-func awaitEnd(p process, ended <-chan error, signals <-chan os.Signal) error {
+func awaitEnd(p process, r role, ended <-chan error, signals <-chan os.Signal) error {
 	deadline := time.NewTimer(time.Duration(p.settings.StopDeadline))
 	defer deadline.Stop()
 	select {
@@ -54,9 +57,32 @@
 		p.log.Info("stopped", "error", err)
 		return err
 	case received := <-signals:
-		return core.At("stop on second "+core.Step(received.String()), core.Peer(p.settings.Instance), errCut)
+		return cut(p, r, ended, "stop on second "+core.Step(received.String()))
 	case <-deadline.C:
-		return core.At("stop at the deadline", core.Peer(p.settings.Instance), errCut)
+		return cut(p, r, ended, "stop at the deadline")
+	}
+}
+
+// cutter is a role that can end at once, and then says what it cut.
+type cutter interface {
+	Cut()
+}
+
+// cut ends a role that still runs, and returns what it cut.
+func cut(p process, r role, ended <-chan error, step core.Step) error {
+	running, ok := r.(cutter)
+	if !ok {
+		return core.At(step, core.Peer(p.settings.Instance), errCut)
+	}
+	running.Cut()
+	timer := time.NewTimer(cutTime)
+	defer timer.Stop()
+	select {
+	case err := <-ended:
+		p.log.Info("stopped", "step", step, "error", err)
+		return core.At(step, core.Peer(p.settings.Instance), err)
+	case <-timer.C:
+		return core.At(step, core.Peer(p.settings.Instance), errCut)
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,15 +12,22 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"zinniapulley.dev/asynclog"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/flow"
 	"zinniapulley.dev/loop"
 	"zinniapulley.dev/subscriber"
 	"zinniapulley.dev/wire"
+	"zinniapulley.dev/wire/geneve"
 )
 
-// mailboxSize is the length of the control loop's mailbox in events.
-const mailboxSize = 64
+const (
+	// mailboxSize is the length of the control loop's mailbox in events.
+	mailboxSize = 64
+	// logQueue is the most log lines of the packet path that wait to be
+	// written.
+	logQueue = 4096
+)
 
 // Config sets up an entry instance.
 type Config struct {
@@ -34,6 +41,11 @@
 	// FloorFile keeps the newest revision that was in force, for an instance
 	// with a disk. Empty: none.
 	FloorFile string
+	// Network is the virtual network identifier of the fabric's datagrams.
+	Network uint32
+	// StopDeadline is how long a stop may wait for the fabric to turn
+	// elsewhere. Zero ends at once.
+	StopDeadline time.Duration
 	// Controls lists the RPC addresses of the control instances.
 	Controls []netip.AddrPort
 	Log      *slog.Logger
@@ -48,25 +60,28 @@
 	loop       *loop.Loop[subscriber.Event]
 	rpc        *wire.Server
 	traffic    *traffic
+	// lines writes what the packet path logs.
+	lines *asynclog.Writer
 }
 
 // New opens the entry instance's socket. Packets wait there until Run.
 func New(config Config) (*Entry, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(config.Packets))
+	conn, err := geneve.Listen(config.Packets)
 	if err != nil {
-		return nil, core.At("listen for packets", core.Peer(config.Packets.String()), err)
+		return nil, err
 	}
 	e := &Entry{
 		config: config,
 		conn:   conn,
 		loop:   loop.New[subscriber.Event](mailboxSize),
 	}
-	e.traffic = newTraffic(conn, &e.forwarding, config)
 	err = e.listen()
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
+	e.lines = asynclog.New(config.Log.Handler(), logQueue)
+	e.traffic = newTraffic(conn, &e.forwarding, config, e.lines.Logger())
 	return e, nil
 }
 
@@ -89,24 +104,33 @@
 	return e.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
-// Run serves until ctx is done. A packet that has been read is sent on before
-// Run returns.
+// Run serves until ctx is done, and then until the fabric has sent no packet
+// for a while, or until the stop deadline or Cut.
 func (e *Entry) Run(ctx context.Context) error {
-	trafficDone := make(chan struct{})
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	trafficDone := make(chan bool)
+	go func() { trafficDone <- e.traffic.run() }()
+	loopDone := make(chan struct{})
 	go func() {
-		defer close(trafficDone)
-		e.traffic.run()
+		defer close(loopDone)
+		subscription := e.subscription()
+		e.subscribe(serving, subscription)
+		e.loop.Run(serving, subscriber.New(subscription, e.putInForce))
 	}()
-	subscription := e.subscription()
-	e.subscribe(ctx, subscription)
-	e.loop.Run(ctx, subscriber.New(subscription, e.putInForce))
-	err := e.conn.SetReadDeadline(time.Now())
-	<-trafficDone
-	closeErr := e.conn.Close()
-	if err == nil {
-		err = closeErr
-	}
-	return core.At("stop entry", core.Peer(e.config.Instance), err)
+	<-ctx.Done()
+	e.traffic.stop(time.Now().Add(e.config.StopDeadline))
+	busy := <-trafficDone
+	stop()
+	<-loopDone
+	e.config.Log.Info("entry stopped", "packetsSinceStop", e.traffic.late, "packetsStillArriving", busy)
+	e.lines.Close()
+	return core.At("close packets", core.Peer(e.config.Instance), e.conn.Close())
+}
+
+// Cut ends a stop that waits.
+func (e *Entry) Cut() {
+	e.traffic.stop(time.Now())
 }
 
 func (e *Entry) subscription() subscriber.Config {
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -1,92 +1,107 @@
 package entry
 
 import (
-	"errors"
 	"log/slog"
 	"net"
 	"net/netip"
 	"os"
 	"sync/atomic"
+	"time"
 
-	"github.com/rcrowley/go-metrics"
+	"github.com/juju/errors"
 	"zinniapulley.dev/flow"
 	"zinniapulley.dev/wire/geneve"
 )
 
-// maxDatagram is the largest datagram read, in bytes.
-const maxDatagram = 1 << 16
+// quietTime is how long no packet must have come before an entry instance that
+// stops takes the fabric to have turned elsewhere.
+const quietTime = time.Second
 
 // traffic is the state of the one goroutine that moves packets.
 type traffic struct {
 	conn       *net.UDPConn
 	self       netip.AddrPort
+	network    uint32
 	forwarding *atomic.Pointer[flow.Forwarding]
 	log        *slog.Logger
 	decoder    geneve.Decoder
 	encoder    *geneve.Encoder
 	envelope   geneve.Envelope
 	counters   counters
+	// stopAt is when the goroutine ends at the latest, in nanoseconds since
+	// 1970; zero until the instance is to stop.
+	stopAt atomic.Int64
+	// late counts the packets forwarded since then.
+	late int64
 }
 
-// counters count packets by what became of them.
-type counters struct {
-	sent      metrics.Counter
-	flows     metrics.Counter
-	sendError metrics.Counter
-	noView    metrics.Counter
-	malformed [geneve.DropCount]metrics.Counter
-	unrouted  [flow.DropReasonCount]metrics.Counter
-}
-
-func newCounters(registry metrics.Registry) counters {
-	c := counters{
-		sent:      metrics.GetOrRegisterCounter("packets.sent", registry),
-		flows:     metrics.GetOrRegisterCounter("flows.routed", registry),
-		sendError: metrics.GetOrRegisterCounter("packets.dropped.send error", registry),
-		noView:    metrics.GetOrRegisterCounter("packets.dropped.no view", registry),
-	}
-	for i := range c.malformed {
-		name := "packets.dropped." + geneve.Drop(i).Error()
-		c.malformed[i] = metrics.GetOrRegisterCounter(name, registry)
-	}
-	for i := range c.unrouted {
-		name := "packets.dropped." + flow.DropReason(i).String()
-		c.unrouted[i] = metrics.GetOrRegisterCounter(name, registry)
-	}
-	return c
-}
-
-func newTraffic(conn *net.UDPConn, forwarding *atomic.Pointer[flow.Forwarding], config Config) *traffic {
+func newTraffic(conn *net.UDPConn, forwarding *atomic.Pointer[flow.Forwarding], config Config, log *slog.Logger) *traffic {
 	return &traffic{
 		conn:       conn,
 		self:       conn.LocalAddr().(*net.UDPAddr).AddrPort(),
+		network:    config.Network,
 		forwarding: forwarding,
-		log:        config.Log,
+		log:        log,
 		encoder:    geneve.NewEncoder(),
 		counters:   newCounters(config.Metrics),
 	}
 }
 
-// run moves packets until the socket's read deadline or its end.
-func (t *traffic) run() {
-	buffer := make([]byte, maxDatagram)
+// stop has the goroutine end once no packet has come for quietTime, or at the
+// given time.
+func (t *traffic) stop(at time.Time) {
+	t.stopAt.Store(at.UnixNano())
+	_ = t.conn.SetReadDeadline(t.quietEnd(at))
+}
+
+// quietEnd returns when the goroutine ends if no more packet comes.
+func (t *traffic) quietEnd(at time.Time) time.Time {
+	quiet := time.Now().Add(quietTime)
+	if quiet.Before(at) {
+		return quiet
+	}
+	return at
+}
+
+// run moves packets until it is stopped or the socket is closed. It reports
+// whether packets still came at the end.
+func (t *traffic) run() bool {
+	buffer := make([]byte, geneve.MaxDatagram)
+	busy := false
 	for {
 		n, _, err := t.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
-			return
+			return busy
 		}
 		if err != nil {
 			continue
 		}
 		t.forward(buffer[:n])
+		stopAt := t.stopAt.Load()
+		if stopAt != 0 {
+			busy = t.stopping(time.Unix(0, stopAt))
+		}
 	}
 }
 
+// stopping prolongs the wait for a quiet time after a packet, and reports
+// whether the latest end comes before it.
+func (t *traffic) stopping(at time.Time) bool {
+	t.late++
+	end := t.quietEnd(at)
+	_ = t.conn.SetReadDeadline(end)
+	return end.Equal(at)
+}
+
 // forward sends one packet from the fabric on to its first candidate.
 func (t *traffic) forward(datagram []byte) {
 	packet, err := t.decoder.DecodeFabric(datagram)
 	if err != nil {
-		t.countMalformed(err)
+		t.counters.countMalformed(err)
+		return
+	}
+	if packet.Network != t.network {
+		t.counters.wrongNetwork.Inc(1)
 		return
 	}
 	forwarding := t.forwarding.Load()
@@ -104,16 +119,7 @@
 }
 
 func (t *traffic) send(inner geneve.Inner, route flow.Route) {
-	t.envelope.Service = route.Service
-	t.envelope.Revision = route.Revision
-	t.envelope.HopIndex = 0
-	t.envelope.HopCount = uint8(len(route.Hops))
-	for i, hop := range route.Hops {
-		t.envelope.Hops[i] = hop.Packets
-	}
-	t.envelope.Entry = t.self
-	t.envelope.Inner = inner
-	datagram, err := t.encoder.EncodePeer(&t.envelope)
+	datagram, err := t.encode(inner, route)
 	if err != nil {
 		t.counters.sendError.Inc(1)
 		return
@@ -126,6 +132,21 @@
 	t.counters.sent.Inc(1)
 }
 
+// encode returns the datagram for the first candidate, which is valid until the
+// next call.
+func (t *traffic) encode(inner geneve.Inner, route flow.Route) ([]byte, error) {
+	t.envelope.Service = route.Service
+	t.envelope.Revision = route.Revision
+	t.envelope.HopIndex = 0
+	t.envelope.HopCount = uint8(len(route.Hops))
+	for i, hop := range route.Hops {
+		t.envelope.Hops[i] = hop.Packets
+	}
+	t.envelope.Entry = t.self
+	t.envelope.Inner = inner
+	return t.encoder.EncodePeer(&t.envelope)
+}
+
 // logNewFlow writes the routing decision of a flow's first packet.
 func (t *traffic) logNewFlow(inner geneve.Inner, route flow.Route) {
 	if !inner.Flags.Opens() {
@@ -135,10 +156,3 @@
 	t.log.Info("flow routed", "flow", inner.Key, "service", route.Service, "bucket", route.Bucket,
 		"backendServer", route.Hops[0].BackendServer, "revision", route.Revision, "reason", "bucket owner")
 }
-
-func (t *traffic) countMalformed(err error) {
-	var drop geneve.Drop
-	if errors.As(err, &drop) {
-		t.counters.malformed[drop].Inc(1)
-	}
-}
--- a/settings/check.go
+++ b/settings/check.go
@@ -102,6 +102,9 @@
 	case RoleEntry:
 		s.checkControls(faults)
 		address(faults, "entry.packets", s.Entry.Packets)
+		if s.Entry.Network > uint32(core.MaxServiceID) {
+			faults.Add("entry.network", "must be at most %d", core.MaxServiceID)
+		}
 	case RoleCompanion:
 		s.checkControls(faults)
 		s.Companion.check(faults)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -55,6 +55,9 @@
 type Entry struct {
 	// Packets is the UDP address at which the fabric delivers packets.
 	Packets netip.AddrPort `json:"packets"`
+	// Network is the virtual network identifier of the fabric's packets. Those
+	// with another one are dropped.
+	Network uint32 `json:"network,omitempty"`
 }
 
 // Companion is the part of the settings that a companion needs.
