--- a/cmd/zinniapulley/roles.go
+++ b/cmd/zinniapulley/roles.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
@@ -61,9 +62,12 @@
 		Instance:   p.settings.Instance,
 		DataCentre: p.settings.DataCentre,
 		Packets:    p.settings.Entry.Packets,
+		Network:    p.settings.Entry.Network,
 		Controls:   p.settings.Controls,
 		Log:        p.log,
 		Metrics:    p.metrics,
+
+		StopDeadline: time.Duration(p.settings.StopDeadline),
 	})
 	if err != nil {
 		return err
