Compare the joint decisions with a ledger of what ran

Cause: the cores were tested one by one; the promises hold or break between companions.

Change: standin/virtual runs the dispatchers of several companions on virtual time, with fakes of the network, the backend servers and the log of claims, and keeps a ledger of what ran. A rapid test submits, resubmits and leaves while messages are lost, late and repeated and companions, backend servers and the control leader fail; every outcome is compared with the ledger.

Slots now stay taken until their requests end. The unit test of a cut bound had expected the freed slot; it now expects the refusal, which is stricter, and TestRequestOnItsWayKeepsItsSlotOverABackendServerRestart keeps the case. A grant delivered twice no longer cancels the run it led to.

--- a/admission/slots.go
+++ b/admission/slots.go
@@ -252,18 +252,14 @@
 }
 
 // Restarted reports the start id that the backend server announces. A new one
-// means cold start, and that nothing of the earlier start runs any more.
+// means cold start. Slots stay taken until their requests end: a request on its
+// way when the backend server restarted may run on the new start.
 func (s *Slots) Restarted(startID core.StartID) {
 	if startID == s.startID {
 		return
 	}
 	s.startID = startID
 	s.pressure = newPressure(s.limits)
-	for id, held := range s.held {
-		if held.state != slotReserved {
-			s.drop(id)
-		}
-	}
 }
 
 // SetDraining stops or resumes giving out reservations.
--- a/admission/slots_test.go
+++ b/admission/slots_test.go
@@ -183,7 +183,6 @@
 			"restart": func(*rapid.T) {
 				start++
 				s.Restarted(start)
-				clear(busyUntil)
 			},
 			"pass": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond)
@@ -218,8 +217,9 @@
 	}
 	g.Expect(s.Start(now, attempt(0))).To(gomega.Equal(admission.SlotGranted))
 	s.Restarted(2)
-	g.Expect(s.Start(now, attempt(1))).To(gomega.Equal(admission.SlotGranted))
-	g.Expect(s.Start(now, attempt(2))).To(gomega.Equal(admission.SlotFull))
+	g.Expect(s.Start(now, attempt(1))).To(gomega.Equal(admission.SlotFull))
+	s.Finish(now, attempt(0), admission.SlotAnswered)
+	g.Expect(s.Start(now, attempt(2))).To(gomega.Equal(admission.SlotGranted))
 }
 
 func TestRestartedCompanionWaitsForWhatItMayHaveLeftRunning(t *testing.T) {
@@ -229,3 +229,12 @@
 	g.Expect(s.Reserve(slotEpoch, attempt(1))).To(gomega.Equal(admission.SlotPaused))
 	g.Expect(s.Reserve(slotEpoch.Add(limits.StopGrace), attempt(1))).To(gomega.Equal(admission.SlotGranted))
 }
+
+func TestRequestOnItsWayKeepsItsSlotOverABackendServerRestart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSlots(admission.DefaultSlotLimits(5))
+	s.Reserve(slotEpoch, attempt(1))
+	s.Start(slotEpoch, attempt(1))
+	s.Restarted(2)
+	g.Expect(s.Reserve(slotEpoch, attempt(2))).To(gomega.Equal(admission.SlotFull))
+}
--- a/claim/events.go
+++ b/claim/events.go
@@ -97,7 +97,10 @@
 type Propose struct{ Command Command }
 
 // Execute runs the request on the backend server, once.
-type Execute struct{ Attempt core.AttemptID }
+type Execute struct {
+	Attempt core.AttemptID
+	Holder  Holder
+}
 
 // Settle ends an attempt that does not run, or whose run is recorded.
 type Settle struct {
--- a/claim/verdicts.go
+++ b/claim/verdicts.go
@@ -25,7 +25,7 @@
 	switch e.Result.Verdict {
 	case Granted:
 		r.phase = phaseExecuting
-		k.do(Execute{Attempt: r.attempt})
+		k.do(Execute{Attempt: r.attempt, Holder: r.holder})
 	case Held:
 		k.held(now, r, e.Result.Record)
 	case Fenced:
--- a/relay/dispatch/actions.go
+++ b/relay/dispatch/actions.go
@@ -60,8 +60,9 @@
 	Attempt core.AttemptID
 	Asker   core.InstanceID
 	Timeout time.Duration
-	// Record is true when the answer is to be recorded for resubmissions.
-	Record bool
+	// Record is the holder under which the answer is to be recorded for
+	// resubmissions, nil when it is not.
+	Record *claim.Holder
 }
 
 // StopExecution cancels an attempt at the own backend server. Its end is still
--- a/relay/dispatch/runner.go
+++ b/relay/dispatch/runner.go
@@ -59,7 +59,7 @@
 	}
 	d.executions[x.attempt] = x
 	if x.keyed == nil {
-		d.execute(now, x)
+		d.execute(now, x, nil)
 		return
 	}
 	x.phase = phaseClaiming
@@ -67,13 +67,13 @@
 	d.claims(now, d.keeper.Handle(now, begin))
 }
 
-func (d *Dispatcher) execute(now time.Time, x *execution) {
+func (d *Dispatcher) execute(now time.Time, x *execution, record *claim.Holder) {
 	x.phase = phaseExecuting
 	d.do(Execute{
 		Attempt: x.attempt,
 		Asker:   x.asker,
 		Timeout: x.deadline.Sub(now),
-		Record:  x.keyed != nil,
+		Record:  record,
 	})
 }
 
@@ -144,7 +144,7 @@
 		case claim.TellHolder:
 			d.do(TellHolder(a))
 		case claim.Execute:
-			d.execute(now, d.executions[a.Attempt])
+			d.execute(now, d.executions[a.Attempt], &a.Holder)
 		case claim.Settle:
 			d.settled(now, a)
 		}
--- a/request/slots.go
+++ b/request/slots.go
@@ -94,10 +94,13 @@
 func (c *Core) reserveAnswered(now time.Time, e ReserveAnswered) {
 	c.peers.learn(now, e.Peer, e.Load)
 	r := c.current(e.Attempt)
-	if r == nil || r.phase != phaseReserving {
+	if r == nil {
 		c.giveBack(e)
 		return
 	}
+	if r.phase != phaseReserving {
+		return
+	}
 	c.reserving--
 	if !e.Granted {
 		c.enqueue(now, r)
--- /dev/null
+++ b/standin/virtual/companion.go
@@ -0,0 +1,199 @@
+package virtual
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"zinniapulley.dev/admission"
+	"zinniapulley.dev/claim"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/relay/dispatch"
+	"zinniapulley.dev/request"
+)
+
+// serviceID is the only service of a world.
+const serviceID core.ServiceID = 1
+
+// Companion is one companion with its backend server.
+type Companion struct {
+	Backend     *Backend
+	world       *World
+	id          core.InstanceID
+	index       int
+	incarnation uint64
+	numbers     uint64
+	down        bool
+	in          bool
+	draining    bool
+	dispatcher  *dispatch.Dispatcher
+	wakeAt      time.Time
+	waiting     map[core.RequestID]*Submission
+	// requests holds what the requests read here carry; tokens what the askers'
+	// runs carry; answers what came of them.
+	requests map[core.RequestID]Token
+	tokens   map[core.AttemptID]Token
+	answers  map[core.AttemptID]*Answer
+	// delivered is the attempt whose answer each caller gets.
+	delivered map[core.RequestID]core.AttemptID
+	recorded  map[claim.Holder]Token
+}
+
+func newCompanion(w *World, index int, backend BackendOptions) *Companion {
+	return &Companion{
+		world:   w,
+		id:      core.InstanceID(fmt.Sprintf("companion-%02d", index)),
+		index:   index,
+		in:      true,
+		Backend: newBackend(w, backend),
+	}
+}
+
+// start makes the dispatcher of a new incarnation.
+func (c *Companion) start() {
+	c.incarnation++
+	c.numbers = 0
+	c.down = false
+	c.waiting = make(map[core.RequestID]*Submission)
+	c.tokens = make(map[core.AttemptID]Token)
+	c.answers = make(map[core.AttemptID]*Answer)
+	c.delivered = make(map[core.RequestID]core.AttemptID)
+	c.recorded = make(map[claim.Holder]Token)
+	c.requests = make(map[core.RequestID]Token)
+	limits := admission.DefaultSlotLimits(c.Backend.options.Slots)
+	limits.StopGrace = c.Backend.options.StopWithin
+	config := dispatch.Config{
+		Self:          c.id,
+		BackendServer: core.BackendServerID(c.index + 1),
+		StartID:       c.Backend.startID,
+		Incarnation:   c.incarnation,
+		Slots:         limits,
+		Requests:      c.world.options.Requests,
+		Claims:        claim.DefaultKeeperLimits(),
+		Chooser:       c.world.options.Chooser,
+		Random:        rand.New(rand.NewPCG(c.world.options.Seed, uint64(c.index)<<32|c.incarnation)),
+	}
+	dispatcher, actions := dispatch.New(c.world.now, config)
+	c.dispatcher = dispatcher
+	c.perform(actions)
+}
+
+// Crash loses all that the companion knows. Its callers' flows are cut.
+func (c *Companion) Crash() {
+	if c.down {
+		return
+	}
+	c.down = true
+	c.wakeAt = time.Time{}
+	for _, s := range c.waiting {
+		s.Gone = true
+		s.Ended = c.world.now
+	}
+	c.Backend.abandon()
+	c.world.tellPeers()
+}
+
+// Restart starts a crashed companion again.
+func (c *Companion) Restart() {
+	if !c.down {
+		return
+	}
+	c.start()
+	c.world.tellPeers()
+}
+
+// RestartBackend restarts the backend server; the companion is told.
+func (c *Companion) RestartBackend() {
+	c.Backend.Restart()
+	c.handle(dispatch.BackendChanged{StartID: c.Backend.startID, Draining: c.draining})
+}
+
+// SetDraining takes the backend server out of or into service gracefully.
+func (c *Companion) SetDraining(draining bool) {
+	c.draining = draining
+	c.handle(dispatch.BackendChanged{StartID: c.Backend.startID, Draining: draining})
+}
+
+// SetIn takes the companion's data centre in or out.
+func (c *Companion) SetIn(in bool) {
+	c.in = in
+	c.world.tellPeers()
+	c.SetDraining(!in)
+}
+
+// Idle reports whether the companion has nothing left to do.
+func (c *Companion) Idle() bool { return c.dispatcher.Idle() }
+
+// Counts returns what became of the requests of the present incarnation.
+func (c *Companion) Counts() request.Counts { return c.dispatcher.Counts() }
+
+func (c *Companion) setPeers(peers []core.InstanceID) {
+	c.handle(dispatch.ForRequests{Event: request.PeersChanged{Peers: peers}})
+}
+
+// Submit hands in a request as if read from a caller's flow. An empty key is a
+// request without one.
+func (c *Companion) Submit(key, body string, repeatable bool, timeout time.Duration) *Submission {
+	w := c.world
+	token := Token{Submission: len(w.Ledger.Submissions), Key: key, Body: body}
+	s := w.Ledger.submitted(token, repeatable, w.now)
+	if c.down {
+		s.Gone = true
+		s.Ended = w.now
+		return s
+	}
+	c.numbers++
+	id := core.RequestID{Companion: c.id, Incarnation: c.incarnation, Number: c.numbers}
+	c.waiting[id] = s
+	c.requests[id] = token
+	submitted := dispatch.Submitted{ID: id, Deadline: w.now.Add(timeout), Repeatable: repeatable}
+	if key != "" {
+		submitted.Keyed = &dispatch.Keyed{
+			Key:    claim.Key{Service: serviceID, Value: key},
+			Digest: sha256.Sum256([]byte(body)),
+		}
+	}
+	c.handle(submitted)
+	return s
+}
+
+// Leave ends the flow of a waiting caller.
+func (c *Companion) Leave(s *Submission) {
+	for id, waiting := range c.waiting {
+		if waiting == s {
+			s.Gone = true
+			s.Ended = c.world.now
+			delete(c.waiting, id)
+			c.handle(dispatch.ForRequests{Event: request.CallerGone{ID: id}})
+			return
+		}
+	}
+}
+
+func (c *Companion) handle(event dispatch.Event) {
+	if c.down {
+		return
+	}
+	c.perform(c.dispatcher.Handle(c.world.now, event))
+}
+
+// arm wakes the dispatcher at its deadline.
+func (c *Companion) arm() {
+	due, ok := c.dispatcher.Deadline(c.world.now)
+	if !ok || (c.wakeAt.Equal(due) && due.After(c.world.now)) {
+		return
+	}
+	c.wakeAt = due
+	dispatcher := c.dispatcher
+	c.world.After(max(0, due.Sub(c.world.now)), func() {
+		if c.down || c.dispatcher != dispatcher || !c.wakeAt.Equal(due) {
+			return
+		}
+		c.wakeAt = time.Time{}
+		c.perform(dispatcher.Wake(c.world.now))
+	})
+}
+
+// Down reports whether the companion has crashed and not restarted.
+func (c *Companion) Down() bool { return c.down }
--- /dev/null
+++ b/standin/virtual/faults_test.go
@@ -0,0 +1,126 @@
+package virtual_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+	"zinniapulley.dev/request"
+	"zinniapulley.dev/standin/virtual"
+)
+
+func backends(count, slots int) []virtual.BackendOptions {
+	list := make([]virtual.BackendOptions, count)
+	for i := range list {
+		list[i] = virtual.BackendOptions{
+			DataCentre: "gent",
+			Slots:      slots,
+			ColdSlots:  1,
+			Warm:       8,
+			Service:    20 * time.Millisecond,
+			StopWithin: 50 * time.Millisecond,
+		}
+	}
+	return list
+}
+
+func options(seed uint64, count, slots int) virtual.Options {
+	return virtual.Options{
+		Seed:     seed,
+		Network:  virtual.Network{Latency: time.Millisecond, Jitter: time.Millisecond, Timeout: 100 * time.Millisecond},
+		Commit:   2 * time.Millisecond,
+		Backends: backends(count, slots),
+		Requests: request.DefaultLimits(),
+		Chooser:  request.PowerOfTwo{HopCost: 0.3},
+	}
+}
+
+// check compares every outcome with the ledger of what ran.
+func check(w *virtual.World, count, slots int) error {
+	ledger := &w.Ledger
+	if ledger.Doubled+ledger.Crossed+ledger.Short+ledger.Untrue > 0 {
+		return fmt.Errorf("doubled %d, crossed %d, short %d, untrue %d: %v",
+			ledger.Doubled, ledger.Crossed, ledger.Short, ledger.Untrue, ledger.Faults)
+	}
+	for i := range count {
+		if highest := w.Companion(i).Backend.Highest; highest > slots {
+			return fmt.Errorf("backend server %d ran %d requests with %d slots", i, highest, slots)
+		}
+	}
+	return nil
+}
+
+// step changes a world at random.
+func step(t *rapid.T, w *virtual.World, submitted *[]*virtual.Submission, count int) {
+	c := w.Companion(rapid.IntRange(0, count-1).Draw(t, "companion"))
+	pick := rapid.IntRange(0, 39).Draw(t, "step")
+	switch {
+	case pick < 12:
+		*submitted = append(*submitted, c.Submit("", "", pick < 6, time.Duration(rapid.IntRange(5, 300).Draw(t, "timeout"))*time.Millisecond))
+	case pick < 20:
+		key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+		body := rapid.SampledFrom([]string{"1", "1", "1", "2"}).Draw(t, "body")
+		*submitted = append(*submitted, c.Submit(key, body, false, 300*time.Millisecond))
+	case pick < 22 && len(*submitted) > 0:
+		c.Leave(rapid.SampledFrom(*submitted).Draw(t, "leaves"))
+	case pick == 22:
+		c.Crash()
+	case pick < 25:
+		c.Restart()
+	case pick == 25:
+		c.RestartBackend()
+	case pick == 26:
+		c.Backend.Chill()
+	case pick == 27:
+		c.Backend.Shedding = !c.Backend.Shedding
+	case pick == 28:
+		c.Backend.Unreachable = !c.Backend.Unreachable
+	case pick == 29:
+		c.SetIn(rapid.Bool().Draw(t, "in"))
+	case pick == 30:
+		c.SetDraining(rapid.Bool().Draw(t, "draining"))
+	case pick == 31:
+		w.SetLeaderless(rapid.Bool().Draw(t, "leaderless"))
+	default:
+		w.Run(time.Duration(rapid.IntRange(1, 40).Draw(t, "ms")) * time.Millisecond)
+	}
+}
+
+// TestOutcomesAreTrueAtAnyInterleaving lets callers submit, resubmit and leave
+// while messages are lost, late and repeated and while companions, backend
+// servers and the control leader fail, and compares all with a list of what ran.
+func TestOutcomesAreTrueAtAnyInterleaving(t *testing.T) {
+	const count, slots = 3, 2
+	rapid.Check(t, func(t *rapid.T) {
+		o := options(rapid.Uint64().Draw(t, "seed"), count, slots)
+		o.Network.Loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
+		o.Network.Repeat = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "repeat")
+		o.Network.Jitter = time.Duration(rapid.IntRange(0, 30).Draw(t, "jitter")) * time.Millisecond
+		for i := range o.Backends {
+			o.Backends[i].Overruns = rapid.Bool().Draw(t, "overruns")
+		}
+		w := virtual.New(o)
+		w.Run(time.Second)
+		var submitted []*virtual.Submission
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			step(t, w, &submitted, count)
+		}
+		w.SetLeaderless(false)
+		w.Run(time.Minute)
+		err := check(w, count, slots)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, s := range submitted {
+			if s.Ended.IsZero() {
+				t.Fatalf("submission %d has no outcome", s.Token.Submission)
+			}
+		}
+		for i := range count {
+			if c := w.Companion(i); o.Network.Loss == 0 && !c.Down() && !c.Idle() {
+				t.Fatalf("companion %d is not idle", i)
+			}
+		}
+	})
+}
