Measure how requests are placed, retried, refused and claimed

Cause: no figures showed what the request policy does under load.

Change: go run ./measure requests drives the dispatchers on virtual time, four policies through six scenarios, and measures the cost of a claim. The log of claims in standin/virtual commits in batches, one at a time.

--- a/measure/doc.go
+++ b/measure/doc.go
@@ -1,4 +1,2 @@
 // Command measure runs the project's measurements and prints their figures.
 package main
-
-func main() {}
--- /dev/null
+++ b/measure/main.go
@@ -0,0 +1,16 @@
+package main
+
+import (
+	"github.com/alecthomas/kong"
+)
+
+// commands lists the measurements.
+type commands struct {
+	Requests requestsCommand `cmd:"" help:"Measure how requests are placed, retried, refused and claimed."`
+}
+
+func main() {
+	var parsed commands
+	ctx := kong.Parse(&parsed, kong.Name("measure"))
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- a/request/peers.go
+++ b/request/peers.go
@@ -47,6 +47,11 @@
 	HopCost float64
 }
 
+// DefaultChooser returns the way in which a companion chooses.
+func DefaultChooser() PowerOfTwo {
+	return PowerOfTwo{HopCost: 0.3}
+}
+
 // Choose implements Chooser.
 func (p PowerOfTwo) Choose(candidates []Candidate, random *rand.Rand) int {
 	best := random.IntN(len(candidates))
--- a/standin/virtual/companion.go
+++ b/standin/virtual/companion.go
@@ -197,3 +197,9 @@
 
 // Down reports whether the companion has crashed and not restarted.
 func (c *Companion) Down() bool { return c.down }
+
+// In reports whether the companion's data centre is in.
+func (c *Companion) In() bool { return c.in }
+
+// DataCentre returns the companion's data centre.
+func (c *Companion) DataCentre() core.DataCentre { return c.Backend.options.DataCentre }
--- a/standin/virtual/ledger.go
+++ b/standin/virtual/ledger.go
@@ -133,3 +133,6 @@
 	slices.SortFunc(ids, core.AttemptID.Compare)
 	return ids
 }
+
+// Sent reports whether the request was handed to a backend server.
+func (s *Submission) Sent() bool { return !s.FirstRun.IsZero() }
--- /dev/null
+++ b/standin/virtual/log.go
@@ -0,0 +1,59 @@
+package virtual
+
+import "zinniapulley.dev/claim"
+
+// claimLog is the log of claims: it commits commands in batches, one batch at a
+// time.
+type claimLog struct {
+	waiting []func()
+	busy    bool
+	// commands and batches count what was committed.
+	commands int
+	batches  int
+}
+
+// Committed returns how many commands, in how many batches, the log of claims
+// has committed.
+func (w *World) Committed() (commands, batches int) {
+	return w.log.commands, w.log.batches
+}
+
+// commit applies a command to the claims after its way to the log. The proposer
+// learns the result, or that there is none.
+func (w *World) commit(command claim.Command, resolved func(claim.Result), lost func()) {
+	w.send(true, func() { w.append(command, resolved, lost) }, lost)
+}
+
+// append puts a command into the next batch. Without a leader the proposer hears
+// nothing, and the command takes effect late.
+func (w *World) append(command claim.Command, resolved func(claim.Result), lost func()) {
+	if w.leaderless {
+		wait := w.options.Network.Timeout
+		w.After(wait, lost)
+		w.After(wait, func() { w.append(command, func(claim.Result) {}, func() {}) })
+		return
+	}
+	w.log.waiting = append(w.log.waiting, func() {
+		result := w.claims.Apply(command)
+		w.send(true, func() { resolved(result) }, lost)
+	})
+	w.writeBatch()
+}
+
+func (w *World) writeBatch() {
+	if w.log.busy || len(w.log.waiting) == 0 {
+		return
+	}
+	batch := w.log.waiting
+	w.log.waiting = nil
+	w.log.busy = true
+	w.After(w.options.Commit, func() {
+		w.log.busy = false
+		w.log.commands += len(batch)
+		w.log.batches++
+		for _, apply := range batch {
+			apply()
+		}
+		w.writeBatch()
+	})
+}
--- a/standin/virtual/world.go
+++ b/standin/virtual/world.go
@@ -30,7 +30,8 @@
 type Options struct {
 	Seed    uint64
 	Network Network
-	// Commit is how long a command takes to be committed, apart from messages.
+	// Commit is how long the log of claims takes to write and replicate one
+	// batch of commands.
 	Commit   time.Duration
 	Backends []BackendOptions
 	Requests request.Limits
@@ -50,9 +51,10 @@
 	claims     *claim.Table
 	// leaderless delays every command while it is true.
 	leaderless bool
-	// Proposals counts the commands that reached the log of claims.
-	Proposals int
-	Ledger    Ledger
+	log        claimLog
+	// Messages counts the messages sent, those of claims included.
+	Messages int
+	Ledger   Ledger
 }
 
 // New returns a world whose companions have started.
@@ -132,6 +134,7 @@
 // send delivers a message, perhaps twice, or loses it. lost may be nil.
 func (w *World) send(repeatable bool, deliver, lost func()) {
 	network := w.options.Network
+	w.Messages++
 	if w.random.Float64() < network.Loss {
 		if lost != nil {
 			w.After(network.Timeout, lost)
@@ -148,25 +151,6 @@
 	return w.options.Network.Latency + time.Duration(w.random.Int64N(int64(w.options.Network.Jitter)+1))
 }
 
-// commit applies a command to the claims after its way to the log. The proposer
-// learns the result, or that there is none.
-func (w *World) commit(command claim.Command, resolved func(claim.Result), lost func()) {
-	w.send(true, func() { w.apply(command, resolved, lost) }, lost)
-}
-
-func (w *World) apply(command claim.Command, resolved func(claim.Result), lost func()) {
-	if w.leaderless {
-		w.After(w.options.Network.Timeout, lost)
-		w.After(w.options.Network.Timeout, func() { w.apply(command, func(claim.Result) {}, func() {}) })
-		return
-	}
-	w.After(w.options.Commit, func() {
-		w.Proposals++
-		result := w.claims.Apply(command)
-		w.send(true, func() { resolved(result) }, lost)
-	})
-}
-
 // event is something due at a time.
 type event struct {
 	at    time.Time
