--- a/config/document.go
+++ b/config/document.go
@@ -143,7 +143,7 @@
 	// DefaultRetryBudget is the most retries in percent of recent requests.
 	DefaultRetryBudget = 10
 	// DefaultBucketMoves is the most buckets moved per second and service.
-	DefaultBucketMoves = 64
+	DefaultBucketMoves = 256
 	// DefaultReturnRamp is the time over which a data centre comes back.
 	DefaultReturnRamp = 10 * time.Second
 	// FullShare is the share, in percent, of a backend server without one.
--- a/config/validate.go
+++ b/config/validate.go
@@ -23,7 +23,7 @@
 	// MaxShare is the highest share, in percent.
 	MaxShare = 1000
 	// MinBuckets and MaxBuckets bound the buckets of a service.
-	MinBuckets = 64
+	MinBuckets = 256
 	MaxBuckets = 16384
 	// MaxConnections and MaxSlots bound the capacity of a backend server.
 	MaxConnections = 1 << 20
--- a/control/handler.go
+++ b/control/handler.go
@@ -39,6 +39,8 @@
 	watchers    map[publish.WaiterID]watcher
 	lastWatcher publish.WaiterID
 	confirm     confirmation
+	// ticking is set while a command that lets the tables change is under way.
+	ticking bool
 }
 
 func newHandler(log *slog.Logger, first *state.Bootstrap) *handler {
@@ -71,6 +73,7 @@
 		return
 	}
 	h.expire(now)
+	h.moveTables(now)
 	h.deliver(h.source.Due(now))
 	h.tracker.Forget(now)
 	h.confirmDue(now)
@@ -83,7 +86,7 @@
 		return time.Time{}, false
 	}
 	due := h.confirm.next
-	for _, next := range []func() (time.Time, bool){h.leases.Next, h.source.Next} {
+	for _, next := range []func() (time.Time, bool){h.leases.Next, h.source.Next, h.tablesDue} {
 		at, ok := next()
 		if ok && at.Before(due) {
 			due = at
@@ -148,6 +151,7 @@
 		h.log.Info("backend server taken out", "backendServer", server.ID, "instance", server.Instance,
 			"dataCentre", server.DataCentre, "startID", server.StartID, "revision", result.Revision)
 	}
+	h.logDecisions(result)
 	h.publishView()
 	return result
 }
--- a/control/service.go
+++ b/control/service.go
@@ -65,6 +65,14 @@
 	return either(err, answer)
 }
 
+// Emptied answers wire.MethodEmptied.
+func (s *service) Emptied(request wire.EmptiedRequest, _ *wire.EmptiedReply) error {
+	answer, err := loop.Ask(s.lifetime, s.loop, func(r loop.Reply[error]) event {
+		return emptiedEvent{backendServer: request.BackendServer, revision: request.Revision, buckets: request.Buckets, reply: r}
+	})
+	return either(err, answer)
+}
+
 func either(first, second error) error {
 	if first != nil {
 		return first
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -8,6 +8,7 @@
 	"zinniapulley.dev/config"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/membership"
+	"zinniapulley.dev/placement"
 )
 
 // Command is one entry of the replicated log. Exactly one field besides At is
@@ -22,8 +23,15 @@
 	Reports       []membership.Report
 	Departures    []membership.Departure
 	Drain         *Drain
+	// Emptied says that a backend server has no flows left in some buckets.
+	Emptied *placement.BucketsEmpty
+	// Tick lets the tables change as far as their bounds allow by now.
+	Tick *Tick
 }
 
+// Tick says nothing but that time has passed.
+type Tick struct{}
+
 // Bootstrap starts a deployment. It changes nothing once there is one.
 type Bootstrap struct {
 	// Document is the JSON of the first configuration document.
@@ -65,6 +73,8 @@
 	Server core.BackendServer
 	// Departed lists the backend servers that the command took out.
 	Departed []core.BackendServer
+	// Decisions lists what became of the tables.
+	Decisions []placement.Decision
 }
 
 // UnknownServiceError refuses an announcement for a service that isn't
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -1,9 +1,12 @@
 package state
 
 import (
+	"time"
+
 	"zinniapulley.dev/config"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/membership"
+	"zinniapulley.dev/placement"
 )
 
 // Machine is the replicated state. It isn't safe for concurrent use.
@@ -47,7 +50,7 @@
 	result, changed := m.apply(command)
 	if changed {
 		m.revision++
-		m.view = m.publish()
+		result.Decisions = append(result.Decisions, m.publish(command.At)...)
 	}
 	result.Revision = m.revision
 	if result.Server.ID != 0 {
@@ -73,6 +76,10 @@
 		return m.depart(command.Departures)
 	case command.Drain != nil:
 		return m.drain(command.Drain)
+	case command.Emptied != nil:
+		return m.settle(command.At, *command.Emptied)
+	case command.Tick != nil:
+		return m.settle(command.At, placement.Tick{})
 	default:
 		return Result{Refusal: EmptyCommandError{}}, false
 	}
@@ -210,3 +217,15 @@
 	}
 	return m.published(server), true
 }
+
+// settle lets the tables change, at what would be the next revision.
+func (m *Machine) settle(at time.Time, event placement.Event) (Result, bool) {
+	decisions, changed := m.tables.handle(at, m.revision+1, event)
+	return Result{Decisions: decisions}, changed
+}
+
+// TablesDue returns when the tables are due to change further, and false if
+// they aren't.
+func (m *Machine) TablesDue() (time.Time, bool) {
+	return m.tables.placement.Deadline()
+}
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -4,6 +4,7 @@
 	"zinniapulley.dev/config"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/membership"
+	"zinniapulley.dev/placement"
 )
 
 // Snapshot is a Machine in a form that any codec can write: equal states give
@@ -11,6 +12,7 @@
 type Snapshot struct {
 	Config   config.Snapshot
 	Members  membership.Snapshot
+	Tables   placement.State
 	HashSeed uint64
 	Revision core.Revision
 }
@@ -21,6 +23,7 @@
 	return Snapshot{
 		Config:   m.config.Snapshot(),
 		Members:  m.members.Snapshot(),
+		Tables:   m.tables.placement.State(),
 		HashSeed: m.seed,
 		Revision: m.revision,
 	}
@@ -38,8 +41,8 @@
 	m.members = membership.Restore(snapshot.Members)
 	m.seed = snapshot.HashSeed
 	m.revision = snapshot.Revision
-	if m.revision > 0 {
-		m.view = m.publish()
-	}
+	m.tables = restoreTables(snapshot.Tables, configuration.Document())
+	m.view = m.bareView()
+	m.view.Tables = m.tables.list(m.view.Services)
 	return m, nil
 }
--- a/control/state/tables.go
+++ b/control/state/tables.go
@@ -1,56 +1,179 @@
 package state
 
 import (
+	"cmp"
 	"slices"
+	"time"
 
 	"zinniapulley.dev/config"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/placement"
 )
 
-// tables holds the table of each service with the candidates that it was built
-// of.
+// tables keeps the tables in step with the configuration and the backend
+// servers.
 type tables struct {
-	built map[core.ServiceID]builtTable
+	placement *placement.Placement
+	bounds    placement.Config
+	// current holds the table of each service as last published.
+	current map[core.ServiceID]core.Table
 }
 
-type builtTable struct {
-	candidates []placement.Candidate
-	table      core.Table
+func newTables() *tables {
+	bounds := placement.DefaultConfig()
+	return &tables{
+		placement: placement.New(bounds),
+		bounds:    bounds,
+		current:   make(map[core.ServiceID]core.Table),
+	}
 }
 
-func newTables() *tables {
-	return &tables{built: make(map[core.ServiceID]builtTable)}
+// restoreTables returns tables in the state of a snapshot.
+func restoreTables(state placement.State, document config.Document) *tables {
+	t := newTables()
+	t.bounds = boundsOf(document)
+	t.placement = placement.Restore(t.bounds, state)
+	for _, table := range t.placement.Tables() {
+		t.current[table.Service] = table
+	}
+	return t
 }
 
-// update returns the tables of the view's services. Those whose candidates are
-// as before stay as they are.
-func (t *tables) update(view *core.View, document config.Document) []core.Table {
-	candidates := make(map[core.ServiceID][]placement.Candidate)
-	for i := range view.BackendServers {
-		server := &view.BackendServers[i]
-		if server.State == core.BackendServing && view.DataCentreIn(server.DataCentre) {
-			candidates[server.Service] = append(candidates[server.Service], candidate(server))
-		}
+func boundsOf(document config.Document) placement.Config {
+	bounds := placement.DefaultConfig()
+	bounds.MovesPerSecond = document.Limits.BucketMovesOrDefault()
+	bounds.Ramp = document.Limits.ReturnRampOrDefault()
+	return bounds
+}
+
+// change is what placement is told of when a view follows another.
+type change struct {
+	at       time.Time
+	before   *core.View
+	after    *core.View
+	document config.Document
+}
+
+// follow tells placement what differs between two views and returns its
+// decisions. The tables of the later view are filled in.
+func (t *tables) follow(c change) []placement.Decision {
+	t.setBounds(boundsOf(c.document))
+	var decisions []placement.Decision
+	for _, event := range c.events() {
+		decisions = append(decisions, t.placement.Handle(c.at, c.after.Revision, event)...)
+	}
+	t.refresh(decisions)
+	for _, service := range c.after.Services {
+		t.ensure(service.ID)
 	}
-	next := make(map[core.ServiceID]builtTable, len(view.Services))
-	list := make([]core.Table, 0, len(view.Services))
-	for _, service := range view.Services {
-		built, known := t.built[service.ID]
-		if !known || !slices.Equal(built.candidates, candidates[service.ID]) {
-			built.candidates = candidates[service.ID]
-			built.table = placement.Build(service.ID, document.Services[service.Name].BucketCount(), built.candidates)
+	c.after.Tables = t.list(c.after.Services)
+	return decisions
+}
+
+func (t *tables) setBounds(bounds placement.Config) {
+	if bounds == t.bounds {
+		return
+	}
+	t.bounds = bounds
+	t.placement = placement.Restore(bounds, t.placement.State())
+}
+
+// handle passes one event on and reports whether a table changed.
+func (t *tables) handle(at time.Time, revision core.Revision, event placement.Event) ([]placement.Decision, bool) {
+	decisions := t.placement.Handle(at, revision, event)
+	return decisions, t.refresh(decisions)
+}
+
+// refresh fetches the tables that decisions changed, and reports whether there
+// are any.
+func (t *tables) refresh(decisions []placement.Decision) bool {
+	changed := make(map[core.ServiceID]bool)
+	for _, decision := range decisions {
+		if decision.Kind != placement.KindHeldBack && !changed[decision.Service] {
+			changed[decision.Service] = true
+			t.fetch(decision.Service)
 		}
-		next[service.ID] = built
-		list = append(list, built.table)
 	}
-	t.built = next
+	return len(changed) > 0
+}
+
+func (t *tables) fetch(service core.ServiceID) {
+	table, known := t.placement.Table(service)
+	if known {
+		t.current[service] = table
+	}
+}
+
+func (t *tables) ensure(service core.ServiceID) {
+	_, known := t.current[service]
+	if !known {
+		t.fetch(service)
+	}
+}
+
+// list returns the tables of the services, and forgets those of others.
+func (t *tables) list(services []core.Service) []core.Table {
+	list := make([]core.Table, 0, len(services))
+	kept := make(map[core.ServiceID]core.Table, len(services))
+	for _, service := range services {
+		kept[service.ID] = t.current[service.ID]
+		list = append(list, t.current[service.ID])
+	}
+	t.current = kept
 	return list
 }
 
-func candidate(server *core.BackendServer) placement.Candidate {
-	return placement.Candidate{
-		ID: server.ID, DataCentre: server.DataCentre,
-		Connections: server.Capacity.Connections, Share: server.Share,
+// events lists what differs between the views, services first.
+func (c change) events() []placement.Event {
+	var events []placement.Event
+	added, removed := compare(c.before.Services, c.after.Services, func(s core.Service) core.ServiceID { return s.ID })
+	for _, service := range removed {
+		events = append(events, placement.ServiceRemoved{Service: service.ID})
+	}
+	for _, service := range added {
+		buckets := c.document.Services[service.Name].BucketCount()
+		events = append(events, placement.ServiceAdded{Service: service.ID, Targets: buckets / placement.BucketsPerTarget})
+	}
+	events = append(events, c.dataCentreEvents()...)
+	changed, gone := compare(c.before.BackendServers, c.after.BackendServers,
+		func(s core.BackendServer) core.BackendServerID { return s.ID })
+	for _, server := range gone {
+		events = append(events, placement.ServerRemoved{Server: server.ID})
+	}
+	for _, server := range changed {
+		events = append(events, placement.ServerChanged{Server: server})
+	}
+	return events
+}
+
+func (c change) dataCentreEvents() []placement.Event {
+	var events []placement.Event
+	changed, gone := compare(c.before.DataCentres, c.after.DataCentres,
+		func(d core.DataCentreState) core.DataCentre { return d.Name })
+	for _, dataCentre := range gone {
+		events = append(events, placement.DataCentreChanged{Name: dataCentre.Name, In: false})
+	}
+	for _, dataCentre := range changed {
+		events = append(events, placement.DataCentreChanged{Name: dataCentre.Name, In: dataCentre.In})
+	}
+	return events
+}
+
+// compare returns the elements of after that are new or differ, and those of
+// before whose key is gone. Both lists are by rising key.
+func compare[T comparable, K cmp.Ordered](before, after []T, key func(T) K) (changed, gone []T) {
+	byKey := func(element T, k K) int { return cmp.Compare(key(element), k) }
+	for _, element := range after {
+		i, existed := slices.BinarySearchFunc(before, key(element), byKey)
+		if !existed || before[i] != element {
+			changed = append(changed, element)
+		}
+	}
+	for _, element := range before {
+		_, stays := slices.BinarySearchFunc(after, key(element), byKey)
+		if !stays {
+			gone = append(gone, element)
+		}
 	}
+	return changed, gone
 }
--- a/control/state/view.go
+++ b/control/state/view.go
@@ -1,13 +1,25 @@
 package state
 
 import (
+	"time"
+
 	"zinniapulley.dev/config"
 	"zinniapulley.dev/core"
+	"zinniapulley.dev/placement"
 )
 
-// publish builds the view of the present state. It shares with the last one
-// what didn't change.
-func (m *Machine) publish() *core.View {
+// publish builds the view of the present state, with tables that follow what
+// changed, and returns the decisions about them. The view shares with the last
+// one what didn't change.
+func (m *Machine) publish(at time.Time) []placement.Decision {
+	view := m.bareView()
+	decisions := m.tables.follow(change{at: at, before: m.view, after: view, document: m.config.Document()})
+	m.view = view
+	return decisions
+}
+
+// bareView returns the view of the present state without tables.
+func (m *Machine) bareView() *core.View {
 	view := &core.View{
 		Revision:    m.revision,
 		HashSeed:    m.seed,
@@ -17,7 +29,6 @@
 	for _, server := range m.members.Servers() {
 		view.BackendServers = append(view.BackendServers, m.published(server))
 	}
-	view.Tables = m.tables.update(view, m.config.Document())
 	return view
 }
 
--- a/demo/bench.go
+++ b/demo/bench.go
@@ -203,18 +203,20 @@
 	}
 }
 
-// registered returns how many backend servers the newest view serves. It waits
-// a little for a view when there is none yet.
-func (b *bench) registered(ctx context.Context) (int, error) {
+// newestView returns the newest view, after a short pause.
+func (b *bench) newestView(ctx context.Context) (*core.View, error) {
 	client := wire.NewClient(b.control.RPC())
 	defer client.Close()
 	var reply wire.WatchReply
 	request := &wire.WatchRequest{Instance: "demo", Direct: true}
 	err := client.Call(ctx, wire.MethodWatch, request, &reply)
-	if err != nil || reply.Answer.View == nil {
-		return 0, err
+	if err != nil {
+		return nil, err
+	}
+	if reply.Answer.View == nil {
+		reply.Answer.View = &core.View{}
 	}
-	return len(reply.Answer.View.BackendServers), sleep(ctx, 50*time.Millisecond)
+	return reply.Answer.View, sleep(ctx, 50*time.Millisecond)
 }
 
 // setDataCentre puts the data centre in or out, as its owners would.
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -32,6 +32,8 @@
 	DefaultFlowsPerTarget = 20
 	// readyTimeout bounds the wait for all backend servers to be announced.
 	readyTimeout = 10 * time.Second
+	// stableTime is how long the tables must stay as they are to be settled.
+	stableTime = 1500 * time.Millisecond
 	// settleTime lets a change reach every instance.
 	settleTime = 2 * time.Second
 	// outTime is how long the data centre stays out.
@@ -107,16 +109,22 @@
 	}
 }
 
-// awaitReady waits until every backend server is in the tables.
+// awaitReady waits until every backend server is registered and the tables have
+// settled.
 func (b *bench) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
+	var last core.Revision
+	since := time.Now()
 	for {
-		registered, err := b.registered(ctx)
+		view, err := b.newestView(ctx)
 		if err != nil {
 			return core.At("wait for backend servers", core.Peer(b.options.Example), err)
 		}
-		if registered == len(b.backends) {
+		if view.Revision != last {
+			last, since = view.Revision, time.Now()
+		}
+		if len(view.BackendServers) == len(b.backends) && time.Since(since) > stableTime {
 			return nil
 		}
 	}
--- a/wire/control.go
+++ b/wire/control.go
@@ -25,6 +25,8 @@
 	MethodHeartbeat = "Control.Heartbeat"
 	// MethodDepart takes out a backend server that leaves.
 	MethodDepart = "Control.Depart"
+	// MethodEmptied says that a backend server has no flows left in buckets.
+	MethodEmptied = "Control.Emptied"
 )
 
 // Names of the methods that a relay answers over net/rpc, with the same
@@ -129,3 +131,15 @@
 
 // DepartReply is empty.
 type DepartReply struct{}
+
+// EmptiedRequest says that a backend server has no flows left in buckets that
+// have moved elsewhere.
+type EmptiedRequest struct {
+	BackendServer core.BackendServerID
+	// Revision is the one in force at the companion when it counted.
+	Revision core.Revision
+	Buckets  []uint32
+}
+
+// EmptiedReply is empty.
+type EmptiedReply struct{}
