Add the replicated log core with a model test

Cause: control needs accepted state that survives the loss of a minority, restarts and lost disks, decided without I/O so that it can be checked.

A model test drives three to five cores through faults and checks safety after every event and recovery at the end.

--- /dev/null
+++ b/consensus/log.go
@@ -0,0 +1,150 @@
+package consensus
+
+import "fmt"
+
+// entryLog is the log in memory: a snapshot and the entries kept. The entries
+// may begin before the snapshot's index, so that members which are a little
+// behind need no snapshot.
+type entryLog struct {
+	snapshot Snapshot
+	// before is the index and term of the entry just before entries[0].
+	beforeIndex Index
+	beforeTerm  Term
+	entries     []Entry
+	// memberships holds the base membership first, then that of each
+	// membership entry after it, by rising index.
+	memberships []memberAt
+}
+
+type memberAt struct {
+	index      Index
+	membership Membership
+}
+
+func newEntryLog(stored Stored) *entryLog {
+	l := &entryLog{}
+	l.reset(stored.Snapshot)
+	for _, entry := range stored.Entries {
+		if entry.Index != l.lastIndex()+1 {
+			panic(fmt.Sprintf("consensus: stored entry %d follows %d", entry.Index, l.lastIndex()))
+		}
+		l.append(entry)
+	}
+	return l
+}
+
+// reset empties the log and puts a snapshot in its place.
+func (l *entryLog) reset(snapshot Snapshot) {
+	l.snapshot = snapshot
+	l.beforeIndex = snapshot.Index
+	l.beforeTerm = snapshot.Term
+	l.entries = nil
+	l.memberships = []memberAt{{index: snapshot.Index, membership: snapshot.Membership}}
+}
+
+func (l *entryLog) lastIndex() Index {
+	return l.beforeIndex + Index(len(l.entries))
+}
+
+func (l *entryLog) lastTerm() Term {
+	term, _ := l.term(l.lastIndex())
+	return term
+}
+
+// firstIndex is the lowest index whose entry is still in memory.
+func (l *entryLog) firstIndex() Index {
+	return l.beforeIndex + 1
+}
+
+// term returns the term of the entry at index, and false if it isn't known.
+func (l *entryLog) term(index Index) (Term, bool) {
+	if index == l.beforeIndex {
+		return l.beforeTerm, true
+	}
+	if index < l.beforeIndex || index > l.lastIndex() {
+		return 0, false
+	}
+	return l.entries[index-l.beforeIndex-1].Term, true
+}
+
+// slice returns at most limit entries from index on.
+func (l *entryLog) slice(from Index, limit int) []Entry {
+	if from > l.lastIndex() {
+		return nil
+	}
+	rest := l.entries[from-l.beforeIndex-1:]
+	count := min(limit, len(rest))
+	return rest[:count:count]
+}
+
+// between returns the entries after low up to high.
+func (l *entryLog) between(low, high Index) []Entry {
+	return l.slice(low+1, int(high-low))
+}
+
+func (l *entryLog) append(entry Entry) {
+	l.entries = append(l.entries, entry)
+	if entry.Kind == EntryMembership {
+		l.memberships = append(l.memberships, memberAt{index: entry.Index, membership: entry.Membership})
+	}
+}
+
+// truncate removes the entries from index on. Slices handed out before keep
+// their content, because the next append copies.
+func (l *entryLog) truncate(from Index) {
+	keep := from - l.beforeIndex - 1
+	l.entries = l.entries[:keep:keep]
+	for len(l.memberships) > 1 && l.memberships[len(l.memberships)-1].index >= from {
+		l.memberships = l.memberships[:len(l.memberships)-1]
+	}
+}
+
+// compact drops the entries up to index.
+func (l *entryLog) compact(index Index) {
+	if index <= l.beforeIndex {
+		return
+	}
+	term, _ := l.term(index)
+	kept := l.entries[index-l.beforeIndex:]
+	l.entries = append([]Entry(nil), kept...)
+	l.beforeIndex = index
+	l.beforeTerm = term
+	for len(l.memberships) > 1 && l.memberships[1].index <= index {
+		l.memberships = l.memberships[1:]
+	}
+}
+
+// membership returns the membership in force: the last one in the log.
+func (l *entryLog) membership() Membership {
+	return l.memberships[len(l.memberships)-1].membership
+}
+
+// membershipIndex returns the index of the membership in force.
+func (l *entryLog) membershipIndex() Index {
+	return l.memberships[len(l.memberships)-1].index
+}
+
+// membershipAt returns the membership in force at index.
+func (l *entryLog) membershipAt(index Index) Membership {
+	found := l.memberships[0].membership
+	for _, at := range l.memberships {
+		if at.index <= index {
+			found = at.membership
+		}
+	}
+	return found
+}
+
+// firstOfTerm returns the lowest index in memory, at or before index, from
+// which on all entries up to index have the same term.
+func (l *entryLog) firstOfTerm(index Index) Index {
+	term, _ := l.term(index)
+	for index > l.firstIndex() {
+		earlier, _ := l.term(index - 1)
+		if earlier != term {
+			return index
+		}
+		index--
+	}
+	return index
+}
--- /dev/null
+++ b/consensus/model_test.go
@@ -0,0 +1,223 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestSafetyAndRecoveryUnderFaults drives three to five cores through lost,
+// repeated, reordered and late messages, cuts in one direction, crashes that
+// lose unsynced writes, lost disks, snapshots and changes of the group. The
+// cluster checks election safety, log matching, leader completeness, state
+// machine safety and reads after every event. At the end the faults stop, and
+// the group must elect a leader, accept a proposal and agree.
+func TestSafetyAndRecoveryUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, rapid.IntRange(3, 5).Draw(t, "size"))
+		c.runFor(2 * time.Second)
+		m := &machine{c: c}
+		t.Repeat(map[string]func(*rapid.T){
+			"storm":    m.storm,
+			"storm2":   m.storm,
+			"storm3":   m.storm,
+			"storm4":   m.storm,
+			"run":      m.run,
+			"advance":  m.advance,
+			"restart":  m.restart,
+			"restart2": m.restart,
+			"stop":     m.stop,
+			"wipe":     m.wipe,
+			"join":     m.join,
+			"remove":   m.remove,
+			"cut":      m.cut,
+			"isolate":  m.isolate,
+			"heal":     m.heal,
+			"snapshot": m.snapshot,
+			"transfer": m.transfer,
+		})
+		c.mustRecover()
+	})
+}
+
+// machine holds the actions of the state machine test.
+type machine struct{ c *cluster }
+
+// pick draws a node that is up, or skips the action.
+func (m *machine) pick(t *rapid.T) *node {
+	n := m.c.nodes[rapid.IntRange(0, len(m.c.nodes)-1).Draw(t, "node")]
+	if !n.up {
+		t.Skip("node is down")
+	}
+	return n
+}
+
+// storm lets the cluster work with lost, repeated, reordered and late messages
+// and slow disks, while clients ask whoever thinks that it leads.
+func (m *machine) storm(t *rapid.T) {
+	random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+	steps := rapid.IntRange(5, 150).Draw(t, "steps")
+	disk := rapid.IntRange(2, 30).Draw(t, "disk")
+	for range steps {
+		m.stormStep(random, disk)
+	}
+}
+
+// stormStep takes one step; disk is how many steps in a hundred sync a disk.
+func (m *machine) stormStep(random *rand.Rand, disk int) {
+	n := m.c.nodes[random.IntN(len(m.c.nodes))]
+	roll := random.IntN(100)
+	switch {
+	case roll < disk && n.up:
+		m.c.sync(n, random.IntN(len(n.unsynced)+1))
+	case roll < 38 && n.up && n.core.role == Leader:
+		m.c.propose(n)
+	case roll < 44 && n.up && n.core.role == Leader:
+		m.c.read(n)
+	case roll < 50:
+		m.c.advance(time.Duration(random.IntN(200)) * time.Millisecond)
+	case len(m.c.network) > 0:
+		m.message(random)
+	}
+}
+
+// message delivers, loses or repeats a message that is under way.
+func (m *machine) message(random *rand.Rand) {
+	i := random.IntN(min(len(m.c.network), 1+random.IntN(12)))
+	roll := random.IntN(100)
+	switch {
+	case roll < 3:
+		m.c.network = slices.Delete(m.c.network, i, i+1)
+	case roll < 6:
+		m.c.network = append(m.c.network, m.c.network[i])
+	default:
+		m.c.deliver(i)
+	}
+}
+
+func (m *machine) run(t *rapid.T) {
+	m.c.runFor(time.Duration(rapid.IntRange(0, 1200).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (m *machine) advance(t *rapid.T) {
+	m.c.advance(time.Duration(rapid.IntRange(1, 1100).Draw(t, "ms")) * time.Millisecond)
+}
+
+// stop crashes a node, which keeps a part of what it had not synced.
+func (m *machine) stop(t *rapid.T) {
+	n := m.pick(t)
+	m.c.crash(n, rapid.IntRange(0, len(n.unsynced)).Draw(t, "kept"))
+}
+
+// restart brings up a node that is down, or crashes one and brings it back.
+func (m *machine) restart(t *rapid.T) {
+	n := m.c.nodes[rapid.IntRange(0, len(m.c.nodes)-1).Draw(t, "node")]
+	if n.up {
+		m.c.crash(n, rapid.IntRange(0, len(n.unsynced)).Draw(t, "kept"))
+	}
+	m.c.start(n)
+}
+
+func (m *machine) wipe(t *rapid.T) {
+	n := m.c.nodes[rapid.IntRange(0, len(m.c.nodes)-1).Draw(t, "node")]
+	if !m.c.mayWipe(n) {
+		t.Skip("the group would lose its quorum for good")
+	}
+	m.c.wipe(n)
+}
+
+func (m *machine) join(t *rapid.T) {
+	leader := m.c.leaderNode()
+	n := m.pick(t)
+	if leader == nil {
+		t.Skip("no leader")
+	}
+	m.c.join(leader, n)
+}
+
+func (m *machine) remove(t *rapid.T) {
+	leader := m.c.leaderNode()
+	n := m.pick(t)
+	if leader == nil {
+		t.Skip("no leader")
+	}
+	next := leader.core.log.membership().without(n.id)
+	if len(next.Voters()) < 2 || !m.c.keepsQuorum(next, MemberID{}) {
+		t.Skip("the group would lose its quorum for good")
+	}
+	m.c.handle(leader, RemoveMember{Tag: m.c.tag(), ID: n.id})
+}
+
+func (m *machine) cut(t *rapid.T) {
+	from := m.c.nodes[rapid.IntRange(0, len(m.c.nodes)-1).Draw(t, "from")]
+	to := m.c.nodes[rapid.IntRange(0, len(m.c.nodes)-1).Draw(t, "to")]
+	m.c.cut[link{from: from.id.Instance, to: to.id.Instance}] = true
+}
+
+func (m *machine) isolate(t *rapid.T) { m.c.isolate(m.pick(t)) }
+
+func (m *machine) heal(*rapid.T) { m.c.heal() }
+
+func (m *machine) snapshot(t *rapid.T) { m.c.snapshot(m.pick(t)) }
+
+func (m *machine) transfer(t *rapid.T) { m.c.handle(m.pick(t), TransferLeadership{}) }
+
+// mustRecover ends all faults and expects the whole group to come back, with
+// every instance a voter again.
+func (c *cluster) mustRecover() {
+	c.heal()
+	for _, n := range c.nodes {
+		if !n.up {
+			c.start(n)
+		}
+	}
+	for range 4 * len(c.nodes) {
+		c.runFor(3 * time.Second)
+		c.joinMissing()
+	}
+	c.runFor(3 * time.Second)
+	leader := c.leaderNode()
+	if leader == nil {
+		c.t.Fatalf("no leader after the faults have ended")
+	}
+	tag := c.propose(leader)
+	read := c.read(leader)
+	c.runFor(time.Second)
+	if _, ok := c.accepted[tag]; !ok {
+		c.t.Fatalf("a proposal was not accepted after the faults have ended")
+	}
+	if _, ok := c.ready[read]; !ok {
+		c.t.Fatalf("a read was not answered after the faults have ended")
+	}
+	for _, n := range c.nodes {
+		if n.index != leader.index {
+			c.t.Fatalf("%s is at %d, the leader at %d", n.id, n.index, leader.index)
+		}
+		if !leader.core.log.membership().IsVoter(n.id) {
+			c.t.Fatalf("%s is not a voter again", n.id)
+		}
+	}
+}
+
+// joinMissing adds one node that is no member. One that was removed comes back
+// with an empty folder.
+func (c *cluster) joinMissing() {
+	leader := c.leaderNode()
+	if leader == nil {
+		return
+	}
+	membership := leader.core.log.membership()
+	for _, n := range c.nodes {
+		if _, member := membership.Find(n.id); member {
+			continue
+		}
+		if membership.WasRemoved(n.id) {
+			c.wipe(n)
+		}
+		c.join(leader, n)
+		return
+	}
+}
