--- a/cmd/zinniapulley/main.go
+++ b/cmd/zinniapulley/main.go
@@ -18,6 +18,7 @@
 	Companion companionCommand `cmd:"" help:"Run the companion of a backend server: announce it, admit its flows and deliver them."`
 	Control   controlCommand   `cmd:"" help:"Run a control instance: keep the replicated configuration, membership and placement."`
 	Check     checkCommand     `cmd:"" help:"Check a settings file or a configuration document and list every fault."`
+	Platform  platformCommand  `cmd:"" help:"Run a role as the users' platform starts it; the environment names the settings file."`
 	Demo      demoCommand      `cmd:"" help:"Run all roles in this process, with small backend servers and callers."`
 }
 
--- /dev/null
+++ b/cmd/zinniapulley/platform.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/durable"
+	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/platform"
+	"zinniapulley.dev/roles/companion"
+	"zinniapulley.dev/roles/control"
+	"zinniapulley.dev/roles/entry"
+)
+
+const (
+	// gcPercent is the growth of the heap between collections. The heaps are a few
+	// megabytes, so that collecting early costs little.
+	gcPercent = 50
+	// memoryShare is the part of the memory limit that the runtime may fill.
+	memoryShare = 0.8
+	// announcementsMissed is how many announcements a backend server may leave out
+	// before it gets no new flows.
+	announcementsMissed = 3.5
+)
+
+// platformCommand holds the roles as the users' platform runs them.
+type platformCommand struct {
+	Entry     platformEntry     `cmd:"" help:"Run an entry instance."`
+	Companion platformCompanion `cmd:"" help:"Run the companion of a backend server."`
+	Control   platformControl   `cmd:"" help:"Run a control instance."`
+}
+
+// platformProcess is what each of these roles is built from.
+type platformProcess struct {
+	MetricsPort uint16 `help:"TCP port of the metrics; 0 for none." default:"0"`
+
+	settings *platform.Settings
+	log      *slog.Logger
+	metrics  metrics.Registry
+}
+
+// load reads the settings file that the environment names.
+func (p *platformProcess) load() error {
+	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(gcPercent)
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
+	}
+	p.settings = settings
+	p.log = slog.New(slog.NewTextHandler(os.Stdout, nil)).With("instance", settings.Instance)
+	p.metrics = metrics.NewRegistry()
+	return nil
+}
+
+// internal is this process's address for the project's own traffic.
+func (p *platformProcess) internal() netip.AddrPort {
+	return netip.AddrPortFrom(p.settings.Address, p.settings.Internal)
+}
+
+// listener is one HTTP address of a role.
+type listener struct {
+	at      netip.AddrPort
+	handler http.Handler
+}
+
+// serve runs the role and its HTTP addresses until a signal asks it to stop.
+func (p *platformProcess) serve(r role, listeners ...listener) error {
+	if p.MetricsPort != 0 {
+		listeners = append(listeners, listener{netip.AddrPortFrom(p.settings.Address, p.MetricsPort), metricsHandler(p.metrics)})
+	}
+	for _, l := range listeners {
+		if !l.at.IsValid() {
+			continue
+		}
+		opened, err := net.Listen("tcp4", l.at.String())
+		if err != nil {
+			return core.At("listen", core.Peer(l.at.String()), err)
+		}
+		server := platform.NewServer(l.handler)
+		go func() { _ = server.Serve(opened) }()
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go p.reload(ctx)
+	p.log.Info("started", "dataCentre", p.settings.DataCentre, "address", p.settings.Address, "seeds", p.settings.Seeds, "first", p.settings.First)
+	err := r.Run(ctx)
+	p.log.Info("stopped", "error", err)
+	return err
+}
+
+// reload notes changed settings. What a running process uses of them doesn't
+// change in its life; the next start takes them up.
+func (p *platformProcess) reload(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			changed, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+			if err != nil {
+				p.log.Error("changed settings not usable, the present ones stay", "error", err)
+				continue
+			}
+			p.log.Info("settings read again", "seeds", changed.Seeds)
+		}
+	}
+}
+
+// metricsHandler writes the metrics as text.
+func metricsHandler(registry metrics.Registry) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(registry, w) })
+	return mux
+}
+
+// platformEntry runs an entry instance.
+type platformEntry struct{ platformProcess }
+
+// Run builds the entry instance from its settings and serves.
+func (c *platformEntry) Run() error {
+	err := c.load()
+	if err != nil {
+		return err
+	}
+	s := c.settings
+	built, err := entry.New(entry.Config{
+		Instance: s.Instance, DataCentre: s.DataCentre, Packets: s.Listen.Packets, Peers: c.internal(), Seeds: s.Seeds,
+		Codec: platform.Datagrams{CallerPort: s.Listen.Packets.Port()}, Log: c.log, Metrics: c.metrics,
+	})
+	if err != nil {
+		return err
+	}
+	return c.serve(built, listener{s.Listen.Ready, platform.ReadyHandler(built)})
+}
+
+// platformCompanion runs a companion.
+type platformCompanion struct{ platformProcess }
+
+// Run builds the companion from its settings and serves.
+func (c *platformCompanion) Run() error {
+	err := c.load()
+	if err != nil {
+		return err
+	}
+	s := c.settings
+	if !s.Server.IsValid() {
+		return core.At("check settings", core.Peer(s.Instance), errors.New("no address of a backend server"))
+	}
+	built, err := companion.New(companion.Config{
+		Instance: s.Instance, DataCentre: s.DataCentre, Packets: s.Listen.Packets, Outbound: s.Listen.Outbound,
+		Server: s.Server, Service: s.Service, Seeds: s.Seeds,
+		Gate: passthrough.GateConfig{
+			DataCentre: s.DataCentre, BeatLimit: time.Duration(float64(s.AnnounceInterval) * announcementsMissed),
+			ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, MaxFlowAge: s.Bounds.MaxFlowAge,
+		},
+		Codec: platform.Datagrams{CallerPort: s.Listen.Packets.Port()}, Log: c.log, Metrics: c.metrics,
+	})
+	if err != nil {
+		return err
+	}
+	return c.serve(built,
+		listener{s.Listen.Ready, platform.ReadyHandler(built)},
+		listener{s.Listen.Control, platform.RegistrarHandler(built, c.log)})
+}
+
+// platformControl runs a control instance.
+type platformControl struct{ platformProcess }
+
+// Run builds the control instance from its settings and serves.
+func (c *platformControl) Run() error {
+	err := c.load()
+	if err != nil {
+		return err
+	}
+	s := c.settings
+	built, err := control.New(control.Config{
+		Instance: s.Instance, RPC: c.internal(), Seeds: s.Seeds, First: s.First, Folder: s.Folder,
+		Files: durable.Disk{}, Log: c.log, Metrics: c.metrics,
+	})
+	if err != nil {
+		return err
+	}
+	return c.serve(built, listener{s.Listen.Control, platform.OperatorHandler(built, s.DataCentres, c.log)})
+}
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -88,8 +88,18 @@
 // given member. It must be used once in the life of a deployment; the driver
 // stores it before it builds a core from it.
 func Bootstrap(first Member) Stored {
-	first.Role = RoleVoter
-	membership := Membership{Members: []Member{first}}
+	return NewGroup([]Member{first})
+}
+
+// NewGroup returns the stored state with which each of the given voters starts a
+// new group. All must start with the same list, and none of them may have taken
+// part in a group under the same identity before.
+func NewGroup(voters []Member) Stored {
+	membership := Membership{}
+	for _, voter := range voters {
+		voter.Role = RoleVoter
+		membership = membership.with(voter)
+	}
 	return Stored{
 		HardState: HardState{Term: 1},
 		Snapshot:  Snapshot{Index: 1, Term: 1, Membership: membership},
--- /dev/null
+++ b/passthrough/choice.go
@@ -0,0 +1,147 @@
+package passthrough
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/route"
+)
+
+const (
+	// flowWeight is what an open flow counts towards the load, in running
+	// requests: about what a flow with a request a second of 30 ms keeps running,
+	// and as much again for the time of its answer.
+	flowWeight = 0.06
+	// farPenalty is the load, in requests per slot, by which a backend server of
+	// another data centre is held back. It keeps traffic near while that costs no
+	// waiting.
+	farPenalty = 0.15
+	// coldPenalty holds cold backend servers back, in requests per slot.
+	coldPenalty = 4.0
+	// unheardPenalty holds back backend servers whose status is old.
+	unheardPenalty = 100.0
+	// samples is how many candidates are drawn for one choice.
+	samples = 3
+)
+
+// choose returns the companion that an opening packet goes to next, nil if there
+// is none left. The service is the same for all copies of the packet at every
+// entry instance; the others of the route follow when none of its backend servers
+// takes the flow.
+func (d *Dispatcher) choose(now time.Time, key core.FlowKey, flow *cached, found *route.Route) *companion {
+	first := serviceFor(key, found.Shares)
+	best := d.best(now, flow, found.Shares[first].Service)
+	for i := 0; best == nil && i < len(found.Shares); i++ {
+		if i != first && found.Shares[i].Weight > 0 {
+			best = d.best(now, flow, found.Shares[i].Service)
+		}
+	}
+	return best
+}
+
+// serviceFor returns the index of the service that the flow's hash falls to.
+func serviceFor(key core.FlowKey, shares []route.Share) int {
+	total := 0
+	for _, share := range shares {
+		total += max(share.Weight, 0)
+	}
+	point := int(hashOf(key) % uint64(total))
+	for i, share := range shares {
+		point -= max(share.Weight, 0)
+		if point < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+func hashOf(key core.FlowKey) uint64 {
+	var buffer [12]byte
+	caller, service := key.Caller.Addr().As4(), key.Service.Addr().As4()
+	copy(buffer[0:4], caller[:])
+	copy(buffer[4:8], service[:])
+	binary.BigEndian.PutUint16(buffer[8:], key.Caller.Port())
+	binary.BigEndian.PutUint16(buffer[10:], key.Service.Port())
+	return xxhash.Sum64(buffer[:])
+}
+
+// best draws a few of the service's companions that may take the flow and returns
+// the least loaded of them. Drawing keeps entry instances with the same figures
+// from all choosing the same one.
+func (d *Dispatcher) best(now time.Time, flow *cached, service core.ServiceName) *companion {
+	var best *companion
+	var bestLoad float64
+	drawn := 0
+	all := d.byService[service]
+	if len(all) == 0 {
+		return nil
+	}
+	start := d.random.IntN(len(all))
+	step := stepFor(len(all), d.random.IntN(len(all)))
+	for i := range all {
+		c := all[(start+i*step)%len(all)]
+		if !d.mayTake(c, flow) {
+			continue
+		}
+		load := d.load(now, c)
+		if best == nil || load < bestLoad {
+			best, bestLoad = c, load
+		}
+		if load < unheardPenalty {
+			drawn++
+		}
+		if drawn >= samples {
+			break
+		}
+	}
+	return best
+}
+
+// stepFor returns a step that visits all of n places, from a random number.
+func stepFor(n, random int) int {
+	step := random%n + 1
+	for gcd(step, n) != 1 {
+		step = step%n + 1
+	}
+	return step
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+// mayTake reports whether the companion may take a new flow that wasn't tried
+// there.
+func (d *Dispatcher) mayTake(c *companion, flow *cached) bool {
+	if !c.status.Ready || d.table.DataCentreOut(c.status.DataCentre) {
+		return false
+	}
+	for _, a := range flow.asked {
+		if a.at == c.status.Companion {
+			return false
+		}
+	}
+	return true
+}
+
+// load returns what a companion's backend server has to do, in requests per slot,
+// with what counts against choosing it.
+func (d *Dispatcher) load(now time.Time, c *companion) float64 {
+	load := float64(c.status.Running+c.assigned) + flowWeight*float64(c.status.Flows)
+	load /= float64(max(c.status.Slots, 1))
+	if c.status.DataCentre != d.dataCentre {
+		load += farPenalty
+	}
+	if c.status.Cold {
+		load += coldPenalty
+	}
+	if now.Sub(c.heard) > statusFresh {
+		load += unheardPenalty
+	}
+	return load
+}
--- /dev/null
+++ b/passthrough/dispatcher.go
@@ -0,0 +1,412 @@
+package passthrough
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/route"
+)
+
+const (
+	// askAgainAfter is how long an opening packet may stay unanswered before its
+	// copy goes to another companion. Callers repeat it after 200 ms.
+	askAgainAfter = 150 * time.Millisecond
+	// statusFresh is the age up to which a companion's status counts in full. It
+	// covers two lost statuses in a row.
+	statusFresh = 700 * time.Millisecond
+	// statusLimit is the age beyond which a companion is forgotten.
+	statusLimit = 70 * time.Second
+	// cacheIdle is how long a flow without packets stays in the cache.
+	cacheIdle = 25 * time.Second
+	// closedIdle is the same once the caller has closed its side.
+	closedIdle = 3 * time.Second
+	// maxAsked is the most companions that one opening packet is tried at.
+	maxAsked = 6
+	// maxSeeks is the most packets that may be sought in one second.
+	maxSeeks = 2000
+)
+
+// DispatchKind says what an entry instance does with a packet.
+type DispatchKind uint8
+
+const (
+	// DispatchForward sends the packet to one companion.
+	DispatchForward DispatchKind = iota + 1
+	// DispatchSeek sends a copy of the packet to a companion that may hold the
+	// flow.
+	DispatchSeek
+	// DispatchReset answers the caller with a reset.
+	DispatchReset
+	// DispatchDrop discards the packet.
+	DispatchDrop
+)
+
+// Dispatch is one thing to do with a packet.
+type Dispatch struct {
+	Kind   DispatchKind
+	Reason Reason
+	To     netip.AddrPort
+	Packet *Packet
+	// ResetSeq is the sequence number of the reset.
+	ResetSeq uint32
+	// Status and Age are what the choice of To relied on, for the log.
+	Status Status
+	Age    time.Duration
+}
+
+// companion is what a Dispatcher knows of one companion.
+type companion struct {
+	status Status
+	heard  time.Time
+	// assigned counts the flows sent there since the last status.
+	assigned int
+}
+
+// ask is an opening packet's try at one companion.
+type ask struct {
+	at       netip.AddrPort
+	when     time.Time
+	admitted bool
+	refused  bool
+}
+
+// cached is what a Dispatcher knows of one flow.
+type cached struct {
+	// owner is the companion where the flow lives; invalid while not known.
+	owner netip.AddrPort
+	asked []ask
+	seen  time.Time
+	// closing is set once the caller has closed its side.
+	closing bool
+}
+
+// Dispatcher decides for one entry instance. It belongs to one goroutine.
+type Dispatcher struct {
+	dataCentre core.DataCentre
+	random     *rand.Rand
+	table      *route.Table
+	companions map[netip.AddrPort]*companion
+	byService  map[core.ServiceName][]*companion
+	flows      map[core.FlowKey]*cached
+	swept      time.Time
+	seeks      int
+	out        []Dispatch
+}
+
+// NewDispatcher returns a Dispatcher without a view. random spreads choices.
+func NewDispatcher(dataCentre core.DataCentre, random *rand.Rand) *Dispatcher {
+	return &Dispatcher{
+		dataCentre: dataCentre,
+		random:     random,
+		companions: make(map[netip.AddrPort]*companion),
+		byService:  make(map[core.ServiceName][]*companion),
+		flows:      make(map[core.FlowKey]*cached),
+	}
+}
+
+// SetTable puts a newer view in force. Older ones are ignored.
+func (d *Dispatcher) SetTable(table *route.Table) {
+	if d.table == nil || table.View.Revision > d.table.View.Revision {
+		d.table = table
+	}
+}
+
+// Version returns the configuration in force here, zero for none.
+func (d *Dispatcher) Version() uint64 {
+	if d.table == nil {
+		return 0
+	}
+	return d.table.View.Version
+}
+
+// Companions returns how many companions are known.
+func (d *Dispatcher) Companions() int { return len(d.companions) }
+
+// Flows returns how many flows are in the cache.
+func (d *Dispatcher) Flows() int { return len(d.flows) }
+
+// Handle decides about a packet from a caller. The result is valid until the
+// next call.
+func (d *Dispatcher) Handle(now time.Time, p *Packet) []Dispatch {
+	d.out = d.out[:0]
+	if p.Flags.Opens() {
+		d.opening(now, p)
+	} else {
+		d.following(now, p)
+	}
+	return d.out
+}
+
+// opening decides about a packet that asks for a new flow.
+func (d *Dispatcher) opening(now time.Time, p *Packet) {
+	if d.table == nil {
+		d.drop(p, ReasonNoView)
+		return
+	}
+	flow, known := d.flows[p.Key]
+	if known && flow.owner.IsValid() {
+		flow.seen = now
+		d.forward(now, p, flow.owner, ReasonCached)
+		return
+	}
+	found := d.table.Route(p.Key.Service)
+	if found == nil {
+		d.reset(p, ReasonNoRoute)
+		return
+	}
+	if !known {
+		flow = &cached{}
+		d.flows[p.Key] = flow
+	}
+	flow.seen = now
+	again := flow.askedLately(now)
+	if again.IsValid() {
+		d.forward(now, p, again, ReasonAsked)
+		return
+	}
+	d.ask(now, p, flow, found)
+}
+
+// askedLately returns the companion that a copy of the opening packet goes to:
+// the one that admitted the flow, or one that had no time to answer yet.
+func (f *cached) askedLately(now time.Time) netip.AddrPort {
+	for _, a := range f.asked {
+		if a.admitted || (!a.refused && now.Sub(a.when) < askAgainAfter) {
+			return a.at
+		}
+	}
+	return netip.AddrPort{}
+}
+
+// ask tries the flow at the best companion that it wasn't tried at.
+func (d *Dispatcher) ask(now time.Time, p *Packet, flow *cached, found *route.Route) {
+	best := d.choose(now, p.Key, flow, found)
+	if best == nil || len(flow.asked) >= maxAsked {
+		d.exhausted(now, p, flow)
+		return
+	}
+	best.assigned++
+	flow.asked = append(flow.asked, ask{at: best.status.Companion, when: now})
+	d.out = append(d.out, Dispatch{
+		Kind: DispatchForward, Reason: ReasonChosen, To: best.status.Companion, Packet: p,
+		Status: best.status, Age: now.Sub(best.heard),
+	})
+}
+
+// exhausted answers an opening packet that no further companion can take.
+func (d *Dispatcher) exhausted(now time.Time, p *Packet, flow *cached) {
+	if len(flow.asked) == 0 {
+		delete(d.flows, p.Key)
+		d.reset(p, ReasonNoCandidate)
+		return
+	}
+	for i := range flow.asked {
+		// One that hasn't refused may have admitted the flow.
+		if !flow.asked[i].refused {
+			flow.asked[i].when = now
+			d.forward(now, p, flow.asked[i].at, ReasonAsked)
+			return
+		}
+	}
+	delete(d.flows, p.Key)
+	d.reset(p, ReasonAllRefused)
+}
+
+// following decides about a packet of a flow that should be open.
+func (d *Dispatcher) following(now time.Time, p *Packet) {
+	flow, known := d.flows[p.Key]
+	if !known {
+		if p.Flags.Has(core.TCPRst) && p.Length == 0 {
+			// It still goes to whoever holds the flow, to free the connection there.
+			d.seek(p, netip.AddrPort{})
+			return
+		}
+		d.flows[p.Key] = &cached{seen: now}
+		d.seek(p, netip.AddrPort{})
+		return
+	}
+	flow.seen = now
+	if p.Flags.Has(core.TCPFin) || p.Flags.Has(core.TCPRst) {
+		flow.closing = true
+	}
+	if flow.owner.IsValid() {
+		d.forward(now, p, flow.owner, ReasonCached)
+		return
+	}
+	sent := false
+	for _, a := range flow.asked {
+		if !a.refused {
+			d.forward(now, p, a.at, ReasonAsked)
+			sent = true
+		}
+	}
+	if !sent {
+		d.seek(p, netip.AddrPort{})
+	}
+}
+
+// seek sends a packet to every companion that may hold its flow.
+func (d *Dispatcher) seek(p *Packet, but netip.AddrPort) {
+	if d.seeks >= maxSeeks {
+		d.drop(p, ReasonSeekLimit)
+		return
+	}
+	d.seeks++
+	var found *route.Route
+	if d.table != nil {
+		found = d.table.Route(p.Key.Service)
+	}
+	for address, c := range d.companions {
+		if address == but || (found != nil && !found.MayHold(c.status.Service)) {
+			continue
+		}
+		d.out = append(d.out, Dispatch{Kind: DispatchSeek, Reason: ReasonUnknownFlow, To: address, Packet: p})
+	}
+	if len(d.out) == 0 {
+		d.drop(p, ReasonUnknownFlow)
+	}
+}
+
+func (d *Dispatcher) forward(now time.Time, p *Packet, to netip.AddrPort, reason Reason) {
+	dispatch := Dispatch{Kind: DispatchForward, Reason: reason, To: to, Packet: p}
+	if c, known := d.companions[to]; known {
+		dispatch.Status, dispatch.Age = c.status, now.Sub(c.heard)
+	}
+	d.out = append(d.out, dispatch)
+}
+
+// reset answers an opening packet. The sequence number is 0, so that a caller
+// whose flow has opened through another entry instance doesn't take it.
+func (d *Dispatcher) reset(p *Packet, reason Reason) {
+	d.out = append(d.out, Dispatch{Kind: DispatchReset, Reason: reason, Packet: p})
+}
+
+func (d *Dispatcher) drop(p *Packet, reason Reason) {
+	d.out = append(d.out, Dispatch{Kind: DispatchDrop, Reason: reason, Packet: p})
+}
+
+// Refused takes an opening packet back from a companion that didn't admit it.
+// The result is valid until the next call.
+func (d *Dispatcher) Refused(now time.Time, from netip.AddrPort, p *Packet) []Dispatch {
+	d.out = d.out[:0]
+	flow, known := d.flows[p.Key]
+	if !known || flow.owner.IsValid() || d.table == nil {
+		return d.out
+	}
+	for i := range flow.asked {
+		if flow.asked[i].at == from {
+			flow.asked[i].refused, flow.asked[i].admitted = true, false
+		}
+	}
+	if flow.askedLately(now).IsValid() {
+		return d.out
+	}
+	found := d.table.Route(p.Key.Service)
+	if found == nil {
+		delete(d.flows, p.Key)
+		d.reset(p, ReasonNoRoute)
+		return d.out
+	}
+	d.ask(now, p, flow, found)
+	return d.out
+}
+
+// NotHere takes a packet back from a companion whose backend server doesn't hold
+// the flow. The result is valid until the next call.
+func (d *Dispatcher) NotHere(now time.Time, from netip.AddrPort, p *Packet) []Dispatch {
+	d.out = d.out[:0]
+	flow, known := d.flows[p.Key]
+	if !known {
+		flow = &cached{}
+		d.flows[p.Key] = flow
+	}
+	flow.seen = now
+	if flow.owner == from {
+		flow.owner = netip.AddrPort{}
+	}
+	waiting := false
+	for i := range flow.asked {
+		if flow.asked[i].at == from {
+			flow.asked[i].refused = true
+		}
+		waiting = waiting || !flow.asked[i].refused
+	}
+	if !waiting && !flow.owner.IsValid() {
+		d.seek(p, from)
+	}
+	return d.out
+}
+
+// Note takes what a companion says about a flow.
+func (d *Dispatcher) Note(now time.Time, from netip.AddrPort, note Note) {
+	if c, known := d.companions[from]; known {
+		c.status.Running, c.status.Flows = note.Running, note.Flows
+	}
+	flow, known := d.flows[note.Key]
+	if !known {
+		return
+	}
+	switch note.Kind {
+	case NoteAdmitted:
+		for i := range flow.asked {
+			flow.asked[i].admitted = flow.asked[i].admitted || flow.asked[i].at == from
+		}
+	case NoteOpened:
+		flow.owner = from
+		flow.asked = nil
+	case NoteLost:
+		flow.closing = true
+	}
+	_ = now
+}
+
+// Status takes what a companion says about its backend server.
+func (d *Dispatcher) Status(now time.Time, status Status) {
+	c, known := d.companions[status.Companion]
+	if !known {
+		c = &companion{}
+		d.companions[status.Companion] = c
+	}
+	moved := !known || c.status.Service != status.Service
+	c.status = status
+	c.heard = now
+	c.assigned = 0
+	if moved {
+		d.index()
+	}
+}
+
+// index groups the companions by service.
+func (d *Dispatcher) index() {
+	clear(d.byService)
+	for _, c := range d.companions {
+		d.byService[c.status.Service] = append(d.byService[c.status.Service], c)
+	}
+}
+
+// Sweep forgets flows and companions that were not heard of for long.
+func (d *Dispatcher) Sweep(now time.Time) {
+	if now.Sub(d.swept) < sweepInterval {
+		return
+	}
+	d.swept = now
+	d.seeks = 0
+	for key, flow := range d.flows {
+		idle := now.Sub(flow.seen)
+		if idle > cacheIdle || (flow.closing && idle > closedIdle) {
+			delete(d.flows, key)
+		}
+	}
+	gone := false
+	for address, c := range d.companions {
+		if now.Sub(c.heard) > statusLimit {
+			delete(d.companions, address)
+			gone = true
+		}
+	}
+	if gone {
+		d.index()
+	}
+}
--- /dev/null
+++ b/passthrough/gate.go
@@ -0,0 +1,310 @@
+package passthrough
+
+import (
+	"net/netip"
+	"time"
+
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/route"
+)
+
+const (
+	// silentAfter is how long a backend server that was sent opening packets may
+	// say nothing at all before it counts as silent. It answers within
+	// milliseconds even with all slots taken.
+	silentAfter = 250 * time.Millisecond
+	// probeInterval is the time between opening packets to a silent one.
+	probeInterval = 500 * time.Millisecond
+	// coldWindow is the span over which a cold backend server's new flows are
+	// counted: a second, and what an arrival may be off.
+	coldWindow = 1100 * time.Millisecond
+	// coldReserve is how many fewer new flows than its bound a cold backend
+	// server gets in a window.
+	coldReserve = 2
+	// halfOpenLimit is how long a flow may wait for its caller's confirmation.
+	halfOpenLimit = 3 * time.Second
+	// closedLimit is how long a closed flow is remembered for late packets.
+	closedLimit = 4 * time.Second
+	// idleMargin is added to the idle time after which a flow is forgotten.
+	idleMargin = 10 * time.Second
+	// defaultIdle holds while the configuration names no idle time.
+	defaultIdle = 30 * time.Second
+)
+
+// GateConfig sets up a Gate.
+type GateConfig struct {
+	DataCentre core.DataCentre
+	// BeatLimit is how long a backend server may be silent about itself before it
+	// gets no new flows.
+	BeatLimit time.Duration
+	// ColdFactor and ColdSlack bound the new flows of a cold backend server in a
+	// second: its rate times the factor, plus the slack.
+	ColdFactor float64
+	ColdSlack  int
+	// MaxFlowAge is how old a flow may grow before it may be forgotten. A Gate
+	// that was started later than a flow doesn't know it.
+	MaxFlowAge time.Duration
+}
+
+// GateKind says what a companion does with a packet.
+type GateKind uint8
+
+const (
+	// GateDeliver hands the packet to the backend server.
+	GateDeliver GateKind = iota + 1
+	// GateAnswer sends the packet of the backend server to the caller.
+	GateAnswer
+	// GateRefuse gives an opening packet back to the entry instance.
+	GateRefuse
+	// GateNotHere gives a packet back to the entry instance because the flow
+	// doesn't live here.
+	GateNotHere
+	// GateReset answers the caller with a reset.
+	GateReset
+	// GateNote tells the entry instance about the flow.
+	GateNote
+	// GateDrop discards the packet.
+	GateDrop
+)
+
+// GateAction is one thing to do with a packet.
+type GateAction struct {
+	Kind   GateKind
+	Reason Reason
+	// To is the entry instance of GateRefuse, GateNotHere and GateNote.
+	To     netip.AddrPort
+	Packet *Packet
+	// ResetSeq is the sequence number of the reset.
+	ResetSeq uint32
+	Note     Note
+}
+
+// stage is how far a flow has come.
+type stage uint8
+
+const (
+	// stageHalfOpen: the opening packet was delivered.
+	stageHalfOpen stage = iota + 1
+	// stageOpen: caller and backend server have the flow.
+	stageOpen
+	// stageProbing: the backend server was asked by delivering a packet.
+	stageProbing
+	// stageClosed: the flow has ended.
+	stageClosed
+)
+
+// gateFlow is what a Gate knows of one flow.
+type gateFlow struct {
+	stage stage
+	// entry is where the flow's last packet came from.
+	entry netip.AddrPort
+	// sought says that it came as a copy that others got too.
+	sought bool
+	// answered says that synAck, the sequence number with which the backend
+	// server opened the flow, is known.
+	answered bool
+	synAck   uint32
+	// waiting says that a request waits for its answer, since then.
+	waiting   bool
+	since     time.Time
+	callerFin bool
+	serverFin bool
+	seen      time.Time
+}
+
+// Gate decides for one companion. It belongs to one goroutine.
+type Gate struct {
+	config  GateConfig
+	table   *route.Table
+	started time.Time
+	target  Target
+	flows   map[core.FlowKey]*gateFlow
+	running int
+	open    int
+	// delivered holds when the newest opening packets were delivered.
+	delivered []time.Time
+	// unanswered is when the first opening packet was delivered after the backend
+	// server was heard of last; zero for none.
+	unanswered time.Time
+	probed     time.Time
+	// returned is when the data centre was put in again; zero if it never was out.
+	returned time.Time
+	stopping bool
+	swept    time.Time
+	out      []GateAction
+	// Served is called with the time from a request to its answer, if set.
+	Served func(time.Duration)
+}
+
+// NewGate returns a Gate that admits nothing until it has a view and has heard of
+// its backend server.
+func NewGate(now time.Time, config GateConfig) *Gate {
+	return &Gate{config: config, started: now, flows: make(map[core.FlowKey]*gateFlow)}
+}
+
+// SetTable puts a newer view in force. Older ones are ignored.
+func (g *Gate) SetTable(now time.Time, table *route.Table) {
+	if g.table != nil && table.View.Revision <= g.table.View.Revision {
+		return
+	}
+	if g.table != nil && g.table.DataCentreOut(g.config.DataCentre) && !table.DataCentreOut(g.config.DataCentre) {
+		g.returned = now
+	}
+	g.table = table
+}
+
+// Version returns the configuration in force here, zero for none.
+func (g *Gate) Version() uint64 {
+	if g.table == nil {
+		return 0
+	}
+	return g.table.View.Version
+}
+
+// Stop lets the Gate admit no more flows.
+func (g *Gate) Stop() { g.stopping = true }
+
+// Running returns how many requests wait for an answer.
+func (g *Gate) Running() int { return g.running }
+
+// FromEntry decides about a caller's packet that an entry instance sent. sought
+// says that others got a copy. version is the configuration in force at the entry
+// instance. The result is valid until the next call.
+func (g *Gate) FromEntry(now time.Time, entry netip.AddrPort, sought bool, version uint64, p *Packet) []GateAction {
+	g.out = g.out[:0]
+	flow, known := g.flows[p.Key]
+	if known {
+		flow.entry, flow.sought, flow.seen = entry, sought, now
+	}
+	switch {
+	case p.Flags.Opens():
+		g.opening(now, entry, version, p, flow)
+	case !known:
+		g.unknown(now, entry, sought, p)
+	case flow.stage == stageHalfOpen:
+		g.confirming(now, p, flow)
+	default:
+		g.following(now, p, flow)
+	}
+	return g.out
+}
+
+// opening decides about a packet that asks for a new flow, or a copy of one.
+func (g *Gate) opening(now time.Time, entry netip.AddrPort, version uint64, p *Packet, flow *gateFlow) {
+	if flow != nil {
+		g.act(GateDeliver, ReasonAsked, p)
+		return
+	}
+	reason := g.unfit(now, version, p)
+	if reason != ReasonNone {
+		g.out = append(g.out, GateAction{Kind: GateRefuse, Reason: reason, To: entry, Packet: p})
+		return
+	}
+	g.flows[p.Key] = &gateFlow{stage: stageHalfOpen, entry: entry, seen: now}
+	g.open++
+	g.delivered = append(g.delivered, now)
+	if g.unanswered.IsZero() {
+		g.unanswered = now
+	}
+	g.act(GateDeliver, ReasonAdmitted, p)
+	g.note(NoteAdmitted, ReasonAdmitted, p.Key, entry)
+}
+
+// unknown decides about a packet of a flow that isn't known here. Its backend
+// server is asked only while it may hold flows older than this Gate.
+func (g *Gate) unknown(now time.Time, entry netip.AddrPort, sought bool, p *Packet) {
+	if g.knowsAll(now) || !g.mayHold(p.Key) {
+		g.notHere(entry, sought, p, ReasonNotHere)
+		return
+	}
+	g.flows[p.Key] = &gateFlow{stage: stageProbing, entry: entry, sought: sought, seen: now}
+	g.act(GateDeliver, ReasonUnknownFlow, p)
+}
+
+// knowsAll reports whether every flow of the backend server is known here.
+func (g *Gate) knowsAll(now time.Time) bool {
+	return g.target.Start > 1 || now.Sub(g.started) > g.config.MaxFlowAge
+}
+
+// mayHold reports whether the backend server's service may hold the flow.
+func (g *Gate) mayHold(key core.FlowKey) bool {
+	if g.table == nil || !g.target.Known {
+		return true
+	}
+	found := g.table.Route(key.Service)
+	return found == nil || found.MayHold(g.target.Service)
+}
+
+// confirming decides about a packet of a flow that is half-open here. It is for
+// this backend server only if it acknowledges what this one answered.
+func (g *Gate) confirming(now time.Time, p *Packet, flow *gateFlow) {
+	if !flow.answered {
+		g.act(GateDeliver, ReasonUnknownFlow, p)
+		return
+	}
+	if !p.Flags.Has(core.TCPAck) || p.Ack-flow.synAck > sequenceSpan {
+		entry, sought := flow.entry, flow.sought
+		g.forget(p.Key, flow)
+		g.notHere(entry, sought, p, ReasonNotHere)
+		return
+	}
+	flow.stage = stageOpen
+	g.note(NoteOpened, ReasonOpened, p.Key, flow.entry)
+	g.following(now, p, flow)
+}
+
+// following delivers a packet of a flow that lives here, or answers for a backend
+// server that has ended.
+func (g *Gate) following(now time.Time, p *Packet, flow *gateFlow) {
+	if flow.sought && flow.stage == stageOpen {
+		g.note(NoteOpened, ReasonOpened, p.Key, flow.entry)
+	}
+	if g.target.Gone && flow.stage == stageOpen {
+		g.lost(p, flow)
+		return
+	}
+	if p.Length > 0 && !flow.waiting && flow.stage == stageOpen {
+		flow.waiting, flow.since = true, now
+		g.running++
+	}
+	if p.Flags.Has(core.TCPFin) {
+		flow.callerFin = true
+		g.closeIfDone(flow)
+	}
+	if p.Flags.Has(core.TCPRst) {
+		g.close(flow)
+	}
+	g.act(GateDeliver, ReasonCached, p)
+}
+
+// lost ends a flow that the backend server no longer holds.
+func (g *Gate) lost(p *Packet, flow *gateFlow) {
+	entry := flow.entry
+	g.forget(p.Key, flow)
+	if p.Flags.Has(core.TCPRst) {
+		g.act(GateDrop, ReasonStrayReset, p)
+		return
+	}
+	g.out = append(g.out, GateAction{Kind: GateReset, Reason: ReasonFlowLost, Packet: p, ResetSeq: p.Ack})
+	g.note(NoteLost, ReasonFlowLost, p.Key, entry)
+}
+
+func (g *Gate) notHere(entry netip.AddrPort, sought bool, p *Packet, reason Reason) {
+	if sought {
+		g.act(GateDrop, reason, p)
+		return
+	}
+	g.out = append(g.out, GateAction{Kind: GateNotHere, Reason: reason, To: entry, Packet: p})
+}
+
+func (g *Gate) act(kind GateKind, reason Reason, p *Packet) {
+	g.out = append(g.out, GateAction{Kind: kind, Reason: reason, Packet: p})
+}
+
+func (g *Gate) note(kind NoteKind, reason Reason, key core.FlowKey, entry netip.AddrPort) {
+	if !entry.IsValid() {
+		return
+	}
+	note := Note{Kind: kind, Key: key, Running: g.running, Flows: g.open}
+	g.out = append(g.out, GateAction{Kind: GateNote, Reason: reason, To: entry, Note: note})
+}
--- /dev/null
+++ b/passthrough/gate_answer.go
@@ -0,0 +1,138 @@
+package passthrough
+
+import (
+	"time"
+
+	"zinniapulley.dev/core"
+)
+
+// FromServer decides about a packet that the backend server sent. The result is
+// valid until the next call.
+func (g *Gate) FromServer(now time.Time, p *Packet) []GateAction {
+	g.out = g.out[:0]
+	g.heard()
+	flow, known := g.flows[p.Key]
+	if p.Returned {
+		g.givenBack(p, flow)
+		return g.out
+	}
+	if !known {
+		flow = &gateFlow{stage: stageOpen}
+		g.flows[p.Key] = flow
+		g.open++
+	}
+	flow.seen = now
+	g.learn(now, p, flow)
+	g.act(GateAnswer, ReasonNone, p)
+	return g.out
+}
+
+// heard notes that the backend server answers.
+func (g *Gate) heard() {
+	g.unanswered = time.Time{}
+	g.probed = time.Time{}
+}
+
+// learn takes from the backend server's packet what it shows of the flow.
+func (g *Gate) learn(now time.Time, p *Packet, flow *gateFlow) {
+	if p.Flags.Has(core.TCPSyn) && p.Flags.Has(core.TCPAck) {
+		flow.answered, flow.synAck = true, p.Seq
+		return
+	}
+	if flow.stage == stageProbing {
+		flow.stage = stageOpen
+		g.open++
+		g.note(NoteOpened, ReasonOpened, p.Key, flow.entry)
+	}
+	if p.Length > 0 && flow.waiting {
+		g.endRequest(flow)
+		if g.Served != nil {
+			g.Served(now.Sub(flow.since))
+		}
+	}
+	if p.Flags.Has(core.TCPFin) {
+		flow.serverFin = true
+		g.closeIfDone(flow)
+	}
+	if p.Flags.Has(core.TCPRst) {
+		g.close(flow)
+	}
+}
+
+// givenBack decides about a caller's packet that the backend server didn't take.
+func (g *Gate) givenBack(p *Packet, flow *gateFlow) {
+	if flow == nil {
+		g.act(GateDrop, ReasonNotHere, p)
+		return
+	}
+	entry, sought := flow.entry, flow.sought
+	switch {
+	case p.Flags.Opens():
+		g.forget(p.Key, flow)
+		g.out = append(g.out, GateAction{Kind: GateRefuse, Reason: ReasonFull, To: entry, Packet: p})
+	case flow.stage == stageOpen:
+		g.lost(p, flow)
+	case flow.stage == stageClosed:
+		g.act(GateDrop, ReasonFlowLost, p)
+	default:
+		g.forget(p.Key, flow)
+		g.notHere(entry, sought, p, ReasonNotHere)
+	}
+}
+
+func (g *Gate) endRequest(flow *gateFlow) {
+	if flow.waiting {
+		flow.waiting = false
+		g.running--
+	}
+}
+
+func (g *Gate) closeIfDone(flow *gateFlow) {
+	if flow.callerFin && flow.serverFin {
+		g.close(flow)
+	}
+}
+
+// close ends a flow but remembers it for late packets.
+func (g *Gate) close(flow *gateFlow) {
+	g.endRequest(flow)
+	if flow.stage == stageHalfOpen || flow.stage == stageOpen {
+		g.open--
+	}
+	flow.stage = stageClosed
+}
+
+// forget ends a flow and drops what is known of it.
+func (g *Gate) forget(key core.FlowKey, flow *gateFlow) {
+	g.close(flow)
+	delete(g.flows, key)
+}
+
+// Sweep forgets flows that have ended or were idle for long.
+func (g *Gate) Sweep(now time.Time) {
+	if now.Sub(g.swept) < sweepInterval {
+		return
+	}
+	g.swept = now
+	g.trimDelivered(now)
+	for key, flow := range g.flows {
+		if now.Sub(flow.seen) > g.limit(flow) {
+			g.forget(key, flow)
+		}
+	}
+}
+
+// limit is how long a flow without packets is remembered.
+func (g *Gate) limit(flow *gateFlow) time.Duration {
+	switch flow.stage {
+	case stageHalfOpen, stageProbing:
+		return halfOpenLimit
+	case stageClosed:
+		return closedLimit
+	default:
+		if g.table != nil && g.table.View.IdleTimeout > 0 {
+			return g.table.View.IdleTimeout + idleMargin
+		}
+		return defaultIdle
+	}
+}
--- /dev/null
+++ b/passthrough/target.go
@@ -0,0 +1,217 @@
+package passthrough
+
+import (
+	"time"
+
+	"zinniapulley.dev/core"
+)
+
+// Announcement is what a backend server says of itself.
+type Announcement struct {
+	// Server is its name for itself.
+	Server     string
+	Service    core.ServiceName
+	DataCentre core.DataCentre
+	// Born is when it started, in milliseconds since 1970 by its own clock; zero if
+	// it doesn't say.
+	Born int64
+	// Number counts its announcements since its start.
+	Number uint64
+	Slots  int
+	// Draining says that it is about to leave.
+	Draining bool
+	// ColdFor is how much longer it stays cold.
+	ColdFor time.Duration
+}
+
+// Target is what is known of a companion's backend server. It is immutable once
+// it has been handed out.
+type Target struct {
+	Announcement
+	Known bool
+	// Gone says that it has said goodbye.
+	Gone bool
+	// Start counts the starts of backend servers that were known here.
+	Start int
+	// ColdUntil is when it will be warm.
+	ColdUntil time.Time
+	// Heard is when it was heard of last.
+	Heard time.Time
+}
+
+// Registration keeps what a companion's backend server says of itself. It belongs
+// to the control goroutine.
+type Registration struct {
+	target Target
+	// limit is how long the known backend server must have been silent before one
+	// that seems older takes its place: clocks jump back.
+	limit time.Duration
+}
+
+// NewRegistration returns a Registration that knows of none. limit is as
+// GateConfig.BeatLimit.
+func NewRegistration(limit time.Duration) *Registration {
+	return &Registration{limit: limit}
+}
+
+// Target returns what is known.
+func (r *Registration) Target() Target { return r.target }
+
+// Announce takes an announcement. It reports false for one that is older than
+// what is known: of an earlier start, or overtaken by a later one.
+func (r *Registration) Announce(now time.Time, a Announcement) (Target, bool) {
+	t := r.target
+	same := t.Known && t.Server == a.Server && t.Born == a.Born
+	silent := now.Sub(t.Heard) > r.limit
+	if t.Known && !silent && ((same && a.Number <= t.Number) || (!same && a.Born < t.Born)) {
+		return t, false
+	}
+	if !same {
+		t = Target{Known: true, Start: t.Start + 1}
+	}
+	// A start that has begun to leave doesn't come back.
+	a.Draining = a.Draining || (same && t.Draining)
+	t.Announcement = a
+	t.Heard = now
+	if a.ColdFor > 0 {
+		t.ColdUntil = now.Add(a.ColdFor)
+	}
+	r.target = t
+	return t, true
+}
+
+// Depart takes a backend server's goodbye. It reports false when another one is
+// known here.
+func (r *Registration) Depart(server string) (Target, bool) {
+	if !r.target.Known || r.target.Server != server {
+		return r.target, false
+	}
+	r.target.Gone = true
+	return r.target, true
+}
+
+// SetTarget takes what is known of the backend server by now.
+func (g *Gate) SetTarget(target Target) {
+	if target.Heard.After(g.target.Heard) {
+		// It speaks, so that it may be tried again.
+		g.heard()
+	}
+	if target.Start != g.target.Start {
+		for _, flow := range g.flows {
+			g.endRequest(flow)
+		}
+	}
+	g.target = target
+}
+
+// unfit returns why the flow of an opening packet can't start here, ReasonNone if
+// it can.
+func (g *Gate) unfit(now time.Time, version uint64, p *Packet) Reason {
+	reason := g.closedFor(now)
+	if reason != ReasonNone {
+		return reason
+	}
+	if !g.allows(version, p.Key) {
+		return ReasonNotAllowed
+	}
+	service := g.table.Service(g.target.Service)
+	if service != nil && service.MaxConnections > 0 && g.open >= service.MaxConnections {
+		return ReasonConnections
+	}
+	if g.silent(now) {
+		if now.Sub(g.probed) < probeInterval {
+			return ReasonSilent
+		}
+		g.probed = now
+	}
+	if g.cold(now) && g.windowFull(now) {
+		return ReasonCold
+	}
+	return ReasonNone
+}
+
+// closedFor returns why no new flow of any route can start here.
+func (g *Gate) closedFor(now time.Time) Reason {
+	switch {
+	case g.stopping:
+		return ReasonStopping
+	case g.table == nil:
+		return ReasonNoView
+	case !g.target.Known:
+		return ReasonNoTarget
+	case g.target.Gone:
+		return ReasonGone
+	case g.target.Draining:
+		return ReasonDraining
+	case g.table.DataCentreOut(g.config.DataCentre):
+		return ReasonOut
+	case now.Sub(g.target.Heard) > g.config.BeatLimit:
+		return ReasonStale
+	default:
+		return ReasonNone
+	}
+}
+
+// allows reports whether the route lets new flows go to the backend server's
+// service. An entry instance with a newer configuration has checked it.
+func (g *Gate) allows(version uint64, key core.FlowKey) bool {
+	if version > g.table.View.Version {
+		return true
+	}
+	found := g.table.Route(key.Service)
+	return found != nil && found.Allows(g.target.Service)
+}
+
+// silent reports whether the backend server has stopped answering.
+func (g *Gate) silent(now time.Time) bool {
+	return !g.unanswered.IsZero() && now.Sub(g.unanswered) > silentAfter
+}
+
+// cold reports whether the backend server bears only a little yet. After its data
+// centre was out it may be cold without having said so yet.
+func (g *Gate) cold(now time.Time) bool {
+	if now.Before(g.target.ColdUntil) {
+		return true
+	}
+	if g.returned.IsZero() {
+		return false
+	}
+	service := g.table.Service(g.target.Service)
+	return service != nil && now.Sub(g.returned) < service.ColdFor
+}
+
+// windowFull reports whether a cold backend server has got all the new flows that
+// it bears in the window that ends now.
+func (g *Gate) windowFull(now time.Time) bool {
+	g.trimDelivered(now)
+	rate := 0.0
+	service := g.table.Service(g.target.Service)
+	if service != nil {
+		rate = service.ColdRate
+	}
+	bound := int(rate*g.config.ColdFactor) + g.config.ColdSlack - coldReserve
+	return len(g.delivered) >= max(bound, 1)
+}
+
+// trimDelivered forgets the opening packets before the window that ends now.
+func (g *Gate) trimDelivered(now time.Time) {
+	old := 0
+	for old < len(g.delivered) && now.Sub(g.delivered[old]) > coldWindow {
+		old++
+	}
+	g.delivered = append(g.delivered[:0], g.delivered[old:]...)
+}
+
+// Status returns what entry instances are told.
+func (g *Gate) Status(now time.Time) Status {
+	ready := g.closedFor(now) == ReasonNone && !g.silent(now)
+	cold := ready && g.cold(now)
+	if cold && g.windowFull(now) {
+		ready = false
+	}
+	return Status{
+		DataCentre: g.config.DataCentre, Service: g.target.Service, Server: g.target.Server,
+		Ready: ready, Departed: g.target.Gone, Cold: cold, Slots: g.target.Slots,
+		Running: g.running, Flows: g.open,
+	}
+}
--- /dev/null
+++ b/roles/companion/control.go
@@ -0,0 +1,92 @@
+package companion
+
+import (
+	"time"
+
+	"zinniapulley.dev/loop"
+	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/roles/feed"
+	"zinniapulley.dev/route"
+)
+
+// event is what the control goroutine takes.
+type event interface {
+	handle(c *control, now time.Time)
+}
+
+// control owns the control state of a companion.
+type control struct {
+	companion    *Companion
+	registration *passthrough.Registration
+}
+
+// Handle takes one event.
+func (c *control) Handle(now time.Time, e event) { e.handle(c, now) }
+
+// Deadline reports that nothing is due.
+func (c *control) Deadline() (time.Time, bool) { return time.Time{}, false }
+
+// Wake does nothing, because nothing is due.
+func (c *control) Wake(time.Time) {}
+
+// change puts a changed copy of the packet path's state in force.
+func (c *control) change(edit func(*state)) {
+	next := *c.companion.state.Load()
+	edit(&next)
+	c.companion.state.Store(&next)
+}
+
+// updated is news from a control instance.
+type updated feed.Update
+
+func (u updated) handle(c *control, _ time.Time) {
+	log := c.companion.config.Log
+	if u.Entries != nil {
+		c.change(func(s *state) { s.entries = u.Entries })
+		log.Info("entry instances known", "entries", u.Entries)
+	}
+	table := c.companion.state.Load().table
+	if u.View == nil || (table != nil && u.View.Revision <= table.View.Revision) {
+		return
+	}
+	c.change(func(s *state) { s.table = route.Compile(u.View) })
+	log.Info("view in force", "revision", u.View.Revision, "version", u.View.Version, "routes", len(u.View.Routes), "out", u.View.Out)
+}
+
+// announced is what the backend server says of itself.
+type announced struct {
+	a     passthrough.Announcement
+	reply loop.Reply[error]
+}
+
+func (e announced) handle(c *control, now time.Time) {
+	before := c.registration.Target()
+	target, taken := c.registration.Announce(now, e.a)
+	if !taken {
+		c.companion.config.Log.Warn("announcement not taken", "server", e.a.Server, "born", e.a.Born, "number", e.a.Number,
+			"knownServer", before.Server, "knownBorn", before.Born, "knownNumber", before.Number)
+		e.reply.Answer(ErrOutdated)
+		return
+	}
+	c.change(func(s *state) { s.target = target })
+	if before.Start != target.Start || before.Draining != target.Draining {
+		c.companion.config.Log.Info("backend server announced", "server", target.Server, "service", target.Service, "born", target.Born,
+			"number", target.Number, "slots", target.Slots, "draining", target.Draining, "coldFor", e.a.ColdFor, "expectedService", c.companion.config.Service)
+	}
+	e.reply.Answer(nil)
+}
+
+// departed is the backend server's goodbye.
+type departed struct {
+	server string
+	reply  loop.Reply[error]
+}
+
+func (e departed) handle(c *control, _ time.Time) {
+	target, taken := c.registration.Depart(e.server)
+	if taken {
+		c.change(func(s *state) { s.target = target })
+	}
+	c.companion.config.Log.Info("backend server departed", "server", e.server, "known", taken)
+	e.reply.Answer(nil)
+}
--- /dev/null
+++ b/roles/companion/owner.go
@@ -0,0 +1,212 @@
+package companion
+
+import (
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"zinniapulley.dev/asynclog"
+	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/roles/traffic"
+	"zinniapulley.dev/wire/hop"
+)
+
+const (
+	// socketPeers is the index of the socket for entry instances.
+	socketPeers = 0
+	// admittedLines and failedLines are the most log lines in a second about flows
+	// that were admitted and about packets that weren't delivered.
+	admittedLines = 20
+	failedLines   = 60
+	// restInterval is the longest time between statuses while nothing changes.
+	restInterval = 300 * time.Millisecond
+	// sampleSize and sampleAlpha shape the sample of service times.
+	sampleSize  = 512
+	sampleAlpha = 0.015
+)
+
+// owner has the state of the packet path.
+type owner struct {
+	companion *Companion
+	gate      *passthrough.Gate
+	state     *state
+	log       *slog.Logger
+	admitted  asynclog.Limit
+	failed    asynclog.Limit
+	buffer    []byte
+	sent      passthrough.Status
+	sentAt    time.Time
+	sentTo    int
+
+	counters   [passthrough.ReasonCount]metrics.Counter
+	sendErrors metrics.Counter
+	malformed  metrics.Counter
+}
+
+func newOwner(c *Companion) *owner {
+	registry := c.config.Metrics
+	o := &owner{
+		companion:  c,
+		gate:       passthrough.NewGate(time.Now(), c.config.Gate),
+		state:      c.state.Load(),
+		log:        c.lines.Logger(),
+		admitted:   asynclog.Limit{PerSecond: admittedLines},
+		failed:     asynclog.Limit{PerSecond: failedLines},
+		sendErrors: metrics.GetOrRegisterCounter("packets.notSent", registry),
+		malformed:  metrics.GetOrRegisterCounter("packets.malformed", registry),
+	}
+	served := metrics.GetOrRegisterHistogram("requests.microseconds", registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	o.gate.Served = func(took time.Duration) { served.Update(took.Microseconds()) }
+	for reason := range o.counters {
+		o.counters[reason] = metrics.GetOrRegisterCounter("packets."+passthrough.Reason(reason).String(), registry)
+	}
+	return o
+}
+
+// refresh takes the newest state of the control goroutine.
+func (o *owner) refresh(now time.Time) {
+	s := o.companion.state.Load()
+	if s == o.state {
+		return
+	}
+	o.state = s
+	if s.table != nil {
+		o.gate.SetTable(now, s.table)
+	}
+	o.gate.SetTarget(s.target)
+}
+
+// Handle takes one datagram.
+func (o *owner) Handle(now time.Time, d traffic.Datagram) {
+	o.refresh(now)
+	var err error
+	if d.Socket == socketPeers {
+		err = o.fromEntry(now, d)
+	} else {
+		err = o.fromServer(now, d.Data)
+	}
+	if err != nil {
+		o.malformed.Inc(1)
+	}
+}
+
+func (o *owner) fromEntry(now time.Time, d traffic.Datagram) error {
+	envelope, err := hop.DecodeEnvelope(d.Data)
+	if err != nil {
+		return err
+	}
+	packet, err := o.companion.config.Codec.FromCaller(envelope.Packet)
+	if err != nil {
+		return err
+	}
+	o.carryOut(now, o.gate.FromEntry(now, d.From, envelope.Kind == hop.KindSeek, envelope.Version, &packet))
+	return nil
+}
+
+func (o *owner) fromServer(now time.Time, datagram []byte) error {
+	packet, err := o.companion.config.Codec.FromServer(datagram)
+	if err != nil {
+		return err
+	}
+	if packet.Returned {
+		o.companion.config.Codec.Restore(datagram)
+	}
+	o.carryOut(now, o.gate.FromServer(now, &packet))
+	return nil
+}
+
+// Tick tells the entry instances how the backend server stands.
+func (o *owner) Tick(now time.Time) {
+	o.refresh(now)
+	if o.companion.stopping.Load() {
+		o.gate.Stop()
+	}
+	o.gate.Sweep(now)
+	status := o.gate.Status(now)
+	status.Companion = o.companion.config.Packets
+	if status == o.sent && len(o.state.entries) == o.sentTo && now.Sub(o.sentAt) < restInterval {
+		return
+	}
+	o.sent, o.sentAt, o.sentTo = status, now, len(o.state.entries)
+	datagram, err := hop.EncodeStatus(status)
+	if err != nil {
+		o.log.Error("status not sent", "error", err)
+		return
+	}
+	for _, entry := range o.state.entries {
+		o.write(datagram, entry)
+	}
+}
+
+// carryOut does what was decided.
+func (o *owner) carryOut(now time.Time, actions []passthrough.GateAction) {
+	codec := o.companion.config.Codec
+	for i := range actions {
+		a := &actions[i]
+		o.counters[a.Reason].Inc(1)
+		switch a.Kind {
+		case passthrough.GateDeliver:
+			o.writeOut(a.Packet.Data, o.companion.config.Server)
+		case passthrough.GateAnswer:
+			o.writeOut(a.Packet.Data, codec.Caller(a.Packet.Key))
+		case passthrough.GateReset:
+			o.writeOut(codec.Reset(a.Packet.Key, a.ResetSeq), codec.Caller(a.Packet.Key))
+		case passthrough.GateRefuse:
+			o.giveBack(hop.KindRefused, a)
+		case passthrough.GateNotHere:
+			o.giveBack(hop.KindNotHere, a)
+		case passthrough.GateNote:
+			o.tell(a)
+		case passthrough.GateDrop:
+		}
+		o.logAction(now, a)
+	}
+}
+
+func (o *owner) giveBack(kind hop.Kind, a *passthrough.GateAction) {
+	o.buffer = hop.AppendEnvelope(o.buffer[:0], hop.Envelope{Kind: kind, Reason: a.Reason, Version: o.gate.Version(), Packet: a.Packet.Data})
+	o.write(o.buffer, a.To)
+}
+
+func (o *owner) tell(a *passthrough.GateAction) {
+	datagram, err := hop.EncodeNote(a.Note)
+	if err != nil {
+		o.log.Error("note not sent", "flow", a.Note.Key, "error", err)
+		return
+	}
+	o.write(datagram, a.To)
+}
+
+func (o *owner) write(datagram []byte, to netip.AddrPort) {
+	_, err := o.companion.peers.WriteToUDPAddrPort(datagram, to)
+	if err != nil {
+		o.sendErrors.Inc(1)
+	}
+}
+
+func (o *owner) writeOut(datagram []byte, to netip.AddrPort) {
+	_, err := o.companion.outbound.WriteToUDPAddrPort(datagram, to)
+	if err != nil {
+		o.sendErrors.Inc(1)
+	}
+}
+
+// logAction writes a line for an admitted flow and for what isn't delivered.
+func (o *owner) logAction(now time.Time, a *passthrough.GateAction) {
+	switch {
+	case a.Kind == passthrough.GateNote && a.Note.Kind == passthrough.NoteAdmitted:
+		leftOut, ok := o.admitted.Allow(now)
+		if ok {
+			o.log.Info("flow admitted", "flow", a.Note.Key, "entry", a.To, "server", o.state.target.Server, "running", a.Note.Running,
+				"flows", a.Note.Flows, "announcementAge", now.Sub(o.state.target.Heard), "version", o.gate.Version(), "linesLeftOut", leftOut)
+		}
+	case a.Kind == passthrough.GateRefuse || a.Kind == passthrough.GateNotHere || a.Kind == passthrough.GateReset:
+		leftOut, ok := o.failed.Allow(now)
+		if ok {
+			o.log.Warn("packet not delivered", "flow", a.Packet.Key, "flags", a.Packet.Flags, "entry", a.To,
+				"reset", a.Kind == passthrough.GateReset, "reason", a.Reason, "server", o.state.target.Server,
+				"announcementAge", now.Sub(o.state.target.Heard), "version", o.gate.Version(), "linesLeftOut", leftOut)
+		}
+	}
+}
--- /dev/null
+++ b/roles/control/handler.go
@@ -0,0 +1,295 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/gob"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+	"zinniapulley.dev/consensus"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/durable"
+	"zinniapulley.dev/loop"
+	"zinniapulley.dev/replica"
+	"zinniapulley.dev/roles/feed"
+	"zinniapulley.dev/route"
+	"zinniapulley.dev/wire"
+)
+
+// handler owns all control state of a control instance. Only the control
+// goroutine calls it.
+type handler struct {
+	server  *Server
+	ctx     context.Context
+	replica *replica.Replica
+	state   route.State
+	// entries holds when each entry instance was heard of last.
+	entries map[netip.AddrPort]time.Time
+	peers   peerList
+	waiters []waiter
+	sweep   time.Time
+}
+
+// peerList is what instances are told of the others, with its digest.
+type peerList struct {
+	entries, controls []string
+	digest            uint64
+}
+
+// waiter is a call that waits for a change.
+type waiter struct {
+	request wire.SyncRequest
+	reply   loop.Reply[wire.SyncReply]
+	due     time.Time
+}
+
+func newHandler(ctx context.Context, server *Server) *handler {
+	return &handler{server: server, ctx: ctx, entries: make(map[netip.AddrPort]time.Time)}
+}
+
+// Handle takes one event.
+func (h *handler) Handle(now time.Time, e event) {
+	e.handle(h, now)
+	h.after(now)
+}
+
+// Deadline returns when Wake is due.
+func (h *handler) Deadline() (time.Time, bool) {
+	due := h.sweep
+	if h.replica != nil && h.replica.Deadline().Before(due) {
+		due = h.replica.Deadline()
+	}
+	for _, w := range h.waiters {
+		if w.due.Before(due) {
+			due = w.due
+		}
+	}
+	return due, true
+}
+
+// Wake acts on the time that has passed.
+func (h *handler) Wake(now time.Time) {
+	if h.replica != nil {
+		h.replica.Wake(now)
+	}
+	if !now.Before(h.sweep) {
+		h.sweep = now.Add(time.Second)
+		h.forgetEntries(now)
+		h.measure()
+	}
+	h.after(now)
+}
+
+// after renews an identity that the group has removed, and answers the calls that
+// have waited for what changed.
+func (h *handler) after(now time.Time) {
+	if h.replica != nil && h.replica.Removed() {
+		removed := h.replica
+		h.replica = nil
+		removed.Close()
+		go h.server.openFolder(h.ctx, removed.Ended())
+	}
+	h.listPeers()
+	h.waiters = slices.DeleteFunc(h.waiters, func(w waiter) bool {
+		if h.unchanged(w.request) && now.Before(w.due) {
+			return false
+		}
+		w.reply.Answer(h.syncReply(w.request))
+		return true
+	})
+}
+
+func (h *handler) measure() {
+	registry := h.server.config.Metrics
+	metrics.GetOrRegisterGauge("configuration.version", registry).Update(int64(h.state.Configuration.Version))
+	metrics.GetOrRegisterGauge("revision", registry).Update(int64(h.state.Revision))
+	metrics.GetOrRegisterGauge("entries", registry).Update(int64(len(h.entries)))
+}
+
+// current reports whether what is applied here is what is in force, as far as
+// this instance can know without asking a quorum.
+func (h *handler) current() bool {
+	if h.replica == nil {
+		return false
+	}
+	status := h.replica.Status()
+	return status.Membership.IsVoter(h.replica.Self()) && status.Leader != consensus.MemberID{}
+}
+
+func (h *handler) unchanged(request wire.SyncRequest) bool {
+	return h.current() && request.Revision >= h.state.Revision && request.Peers == h.peers.digest
+}
+
+func (h *handler) syncReply(request wire.SyncRequest) wire.SyncReply {
+	if !h.current() {
+		return wire.SyncReply{Behind: true, Controls: h.peers.controls}
+	}
+	reply := wire.SyncReply{Peers: h.peers.digest}
+	if request.Peers != h.peers.digest {
+		reply.Entries, reply.Controls = h.peers.entries, h.peers.controls
+	}
+	if request.Revision < h.state.Revision {
+		reply.View = h.state.View()
+	}
+	return reply
+}
+
+// listPeers brings the list of entry and control instances up to date.
+func (h *handler) listPeers() {
+	var list peerList
+	for address := range h.entries {
+		list.entries = append(list.entries, address.String())
+	}
+	slices.Sort(list.entries)
+	if h.replica != nil {
+		for _, member := range h.replica.Status().Membership.Members {
+			list.controls = append(list.controls, member.Address.String())
+		}
+	}
+	digest := xxhash.New()
+	for _, names := range [][]string{list.entries, list.controls} {
+		_, _ = digest.Write(binary.BigEndian.AppendUint32(nil, uint32(len(names))))
+		for _, name := range names {
+			_, _ = digest.WriteString(name)
+		}
+	}
+	list.digest = digest.Sum64()
+	h.peers = list
+}
+
+func (h *handler) forgetEntries(now time.Time) {
+	for address, heard := range h.entries {
+		if now.Sub(heard) > entryLimit {
+			delete(h.entries, address)
+			h.server.config.Log.Info("entry instance no longer heard of", "entry", address, "silent", now.Sub(heard))
+		}
+	}
+}
+
+// Apply carries out one committed command.
+func (h *handler) Apply(encoded []byte) any {
+	var command route.Command
+	err := gob.NewDecoder(bytes.NewReader(encoded)).Decode(&command)
+	if err != nil {
+		// Every member finds the same, so that skipping keeps them equal.
+		h.server.config.Log.Error("committed command can't be read, skipped", "error", err)
+		return route.Result{Version: h.state.Configuration.Version, Revision: h.state.Revision}
+	}
+	result := h.state.Apply(command)
+	h.server.config.Log.Info("command applied", "changed", result.Changed, "version", result.Version, "revision", result.Revision,
+		"routes", len(h.state.Configuration.Routes), "out", h.state.Out)
+	return result
+}
+
+// Snapshot returns the whole replicated state.
+func (h *handler) Snapshot() ([]byte, error) {
+	var buffer bytes.Buffer
+	err := gob.NewEncoder(&buffer).Encode(&h.state)
+	return buffer.Bytes(), err
+}
+
+// Restore replaces the whole replicated state.
+func (h *handler) Restore(encoded []byte) error {
+	var state route.State
+	if len(encoded) > 0 {
+		err := gob.NewDecoder(bytes.NewReader(encoded)).Decode(&state)
+		if err != nil {
+			return core.At("decode state", "", err)
+		}
+	}
+	h.state = state
+	return nil
+}
+
+// opened is a data folder that is ready.
+type opened struct{ folder *durable.Folder }
+
+func (e opened) handle(h *handler, now time.Time) {
+	h.state = route.State{}
+	var built *replica.Replica
+	post := func(ctx context.Context, re replica.Event) error {
+		return h.server.loop.Send(ctx, replicaEvent{from: built, event: re})
+	}
+	built, err := replica.New(h.ctx, now, replica.Config{
+		Address: h.server.config.RPC, Machine: h, Log: h.server.config.Log,
+		Post: post, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}, e.folder)
+	if err != nil {
+		h.server.config.Log.Error("state not restored, joining anew", "error", err)
+		ended := make(chan struct{})
+		close(ended)
+		go h.server.openFolder(h.ctx, ended)
+		return
+	}
+	h.replica = built
+	status := built.Status()
+	h.server.config.Log.Info("member of the replicated log started", "member", built.Self(), "term", status.Term,
+		"lastIndex", status.LastIndex, "members", len(status.Membership.Members), "version", h.state.Configuration.Version)
+}
+
+// handle takes an event of the replica that runs now; those of an earlier one are
+// of no use.
+func (e replicaEvent) handle(h *handler, now time.Time) {
+	if h.replica != nil && e.from == h.replica {
+		h.replica.Handle(now, e.event)
+	}
+}
+
+// leave hands leadership over.
+type leave struct{}
+
+func (leave) handle(h *handler, now time.Time) {
+	if h.replica != nil && h.replica.Leading() {
+		h.replica.HandOver(now)
+	}
+}
+
+// syncQuestion is a call for news.
+type syncQuestion struct {
+	request wire.SyncRequest
+	reply   loop.Reply[wire.SyncReply]
+}
+
+func (e syncQuestion) handle(h *handler, now time.Time) {
+	h.waiters = append(h.waiters, waiter{request: e.request, reply: e.reply, due: now.Add(feed.Wait)})
+	if !h.current() {
+		h.waiters[len(h.waiters)-1].due = now
+	}
+}
+
+// heard is an entry instance's hello.
+type heard struct{ entry netip.AddrPort }
+
+func (e heard) handle(h *handler, now time.Time) {
+	_, known := h.entries[e.entry]
+	h.entries[e.entry] = now
+	if !known {
+		h.server.config.Log.Info("entry instance heard of", "entry", e.entry)
+	}
+}
+
+// membershipAnswer says whether this instance is a member.
+type membershipAnswer struct {
+	ready, member bool
+	self          consensus.MemberID
+}
+
+// membershipQuestion asks for it.
+type membershipQuestion struct {
+	reply loop.Reply[membershipAnswer]
+}
+
+func (e membershipQuestion) handle(h *handler, _ time.Time) {
+	if h.replica == nil {
+		e.reply.Answer(membershipAnswer{})
+		return
+	}
+	_, member := h.replica.Status().Membership.Find(h.replica.Self())
+	e.reply.Answer(membershipAnswer{ready: true, member: member, self: h.replica.Self()})
+}
--- /dev/null
+++ b/roles/control/orders.go
@@ -0,0 +1,174 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"zinniapulley.dev/consensus"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/loop"
+	"zinniapulley.dev/route"
+	"zinniapulley.dev/wire"
+)
+
+// Configure submits a configuration, which must be valid. It returns once the
+// configuration, or a newer one, is durable.
+func (s *Server) Configure(ctx context.Context, configuration route.Configuration) (route.Result, error) {
+	return s.submit(ctx, route.Command{Configure: &configuration})
+}
+
+// SetDataCentre takes a data centre out or puts it in again.
+func (s *Server) SetDataCentre(ctx context.Context, change route.SetDataCentre) (route.Result, error) {
+	return s.submit(ctx, route.Command{DataCentre: &change})
+}
+
+func (s *Server) submit(ctx context.Context, command route.Command) (route.Result, error) {
+	var buffer bytes.Buffer
+	err := gob.NewEncoder(&buffer).Encode(command)
+	if err != nil {
+		return route.Result{}, core.At("encode command", "", err)
+	}
+	var reply wire.SubmitReply
+	err = s.atLeader(ctx, "submit", func(limited context.Context) (refusal, error) {
+		reply = wire.SubmitReply{}
+		answer, err := loop.Ask(limited, s.loop, func(r loop.Reply[submitAnswer]) event { return submitted{command: buffer.Bytes(), reply: r} })
+		if err != nil {
+			return refusal{}, err
+		}
+		reply = answer.reply
+		if reply.NotLeader && answer.leader.IsValid() {
+			err = call(limited, submitTimeout, answer.leader, wire.MethodSubmit, wire.SubmitRequest{Command: buffer.Bytes()}, &reply)
+		}
+		return refusal{notLeader: reply.NotLeader, failure: reply.Failure}, err
+	})
+	return reply.Result, err
+}
+
+// Read returns the newest configuration, as a quorum confirms. Its Source is
+// empty before there is one.
+func (s *Server) Read(ctx context.Context) (wire.ReadReply, error) {
+	var reply wire.ReadReply
+	err := s.atLeader(ctx, "read", func(limited context.Context) (refusal, error) {
+		reply = wire.ReadReply{}
+		answer, err := loop.Ask(limited, s.loop, func(r loop.Reply[readAnswer]) event { return readQuestion{reply: r} })
+		if err != nil {
+			return refusal{}, err
+		}
+		reply = answer.reply
+		if reply.NotLeader && answer.leader.IsValid() {
+			err = call(limited, submitTimeout, answer.leader, wire.MethodRead, wire.ReadRequest{Instance: s.config.Instance}, &reply)
+		}
+		return refusal{notLeader: reply.NotLeader, failure: reply.Failure}, err
+	})
+	return reply, err
+}
+
+// refusal says why a try was not answered as asked.
+type refusal struct {
+	notLeader bool
+	failure   string
+}
+
+// atLeader tries until the leader has answered or the time is over. All orders
+// may be repeated: one that was carried out changes nothing the second time.
+func (s *Server) atLeader(ctx context.Context, step core.Step, try func(context.Context) (refusal, error)) error {
+	limited, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	for {
+		refused, err := try(limited)
+		if err == nil && !refused.notLeader && refused.failure == "" {
+			return nil
+		}
+		select {
+		case <-limited.Done():
+			s.config.Log.Warn("order not answered in time", "step", step, "notLeader", refused.notLeader, "failure", refused.failure, "error", err)
+			return core.At(step, core.Peer(s.config.Instance), ErrUnavailable)
+		case <-time.After(leaderRetry):
+		}
+	}
+}
+
+// submitAnswer is what became of a command here.
+type submitAnswer struct {
+	reply  wire.SubmitReply
+	leader netip.AddrPort
+}
+
+// submitted is a command for the replicated log.
+type submitted struct {
+	command []byte
+	reply   loop.Reply[submitAnswer]
+}
+
+func (e submitted) handle(h *handler, now time.Time) {
+	if h.replica == nil || !h.replica.Leading() {
+		e.reply.Answer(submitAnswer{reply: wire.SubmitReply{NotLeader: true}, leader: h.leader()})
+		return
+	}
+	h.replica.Propose(now, e.command, func(result any, err error) {
+		applied, ok := result.(route.Result)
+		if err == nil && !ok {
+			err = errors.New("the command was committed but not carried out")
+		}
+		e.reply.Answer(submitAnswer{reply: submitReply(applied, err)})
+	})
+}
+
+func submitReply(result route.Result, err error) wire.SubmitReply {
+	var refused consensus.Refusal
+	if errors.As(err, &refused) && refused.Reason == consensus.RefusedNotLeader {
+		return wire.SubmitReply{NotLeader: true}
+	}
+	if err != nil {
+		return wire.SubmitReply{Failure: err.Error()}
+	}
+	return wire.SubmitReply{Result: result}
+}
+
+// leader returns the leader's address, invalid if it isn't known.
+func (h *handler) leader() netip.AddrPort {
+	if h.replica == nil {
+		return netip.AddrPort{}
+	}
+	address, _ := h.replica.Leader()
+	if address == h.server.config.RPC {
+		return netip.AddrPort{}
+	}
+	return address
+}
+
+// readAnswer is the newest configuration as known here.
+type readAnswer struct {
+	reply  wire.ReadReply
+	leader netip.AddrPort
+}
+
+// readQuestion asks for it.
+type readQuestion struct {
+	reply loop.Reply[readAnswer]
+}
+
+func (e readQuestion) handle(h *handler, now time.Time) {
+	if h.replica == nil || !h.replica.Leading() {
+		e.reply.Answer(readAnswer{reply: wire.ReadReply{NotLeader: true}, leader: h.leader()})
+		return
+	}
+	h.replica.Confirm(now, func(err error) {
+		if err != nil {
+			e.reply.Answer(readAnswer{reply: wire.ReadReply{Failure: err.Error()}})
+			return
+		}
+		e.reply.Answer(readAnswer{reply: wire.ReadReply{Version: h.state.Configuration.Version, Source: h.state.Configuration.Source}})
+	})
+}
+
+// Newest returns the newest configuration as it was sent, empty before the first
+// one.
+func (s *Server) Newest(ctx context.Context) ([]byte, error) {
+	reply, err := s.Read(ctx)
+	return reply.Source, err
+}
--- /dev/null
+++ b/roles/feed/feed.go
@@ -0,0 +1,167 @@
+// Package feed keeps an instance current: it asks control instances, one at a
+// time, for what has changed since the last answer, and goes on to the next one
+// when an answer fails, is late or is known to be behind.
+package feed
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/route"
+	"zinniapulley.dev/wire"
+)
+
+const (
+	// Wait is how long a control instance holds an answer back while nothing has
+	// changed.
+	Wait = 500 * time.Millisecond
+	// callTimeout is how long an answer may take before the control instance or
+	// the connection to it is given up: twice the wait.
+	callTimeout = 2 * Wait
+	// pauseMin and pauseMax bound the pause after a failed call.
+	pauseMin = 50 * time.Millisecond
+	pauseMax = 400 * time.Millisecond
+)
+
+// Update is what an answer brought.
+type Update struct {
+	// Confirmed is when the answer was asked for: what is in force is at least as
+	// new as what was then.
+	Confirmed time.Time
+	// View is nil when it hasn't changed.
+	View *route.View
+	// Entries and Controls list addresses; they are nil when they haven't changed.
+	Entries, Controls []netip.AddrPort
+}
+
+// Config sets up a feed.
+type Config struct {
+	Instance core.InstanceID
+	// Seeds are the control instances known at the start.
+	Seeds []netip.AddrPort
+	Log   *slog.Logger
+	// Post hands an update to the control goroutine.
+	Post func(context.Context, Update) error
+	// Random picks the control instance to ask next.
+	Random *rand.Rand
+}
+
+// feed is the state of the one goroutine that asks.
+type feed struct {
+	config   Config
+	controls []netip.AddrPort
+	request  wire.SyncRequest
+	client   *wire.Client
+	at       netip.AddrPort
+	pause    time.Duration
+	lost     bool
+}
+
+// Run asks until ctx is done.
+func Run(ctx context.Context, config Config) {
+	f := &feed{config: config, controls: config.Seeds, pause: pauseMin}
+	f.request.Instance = config.Instance
+	for ctx.Err() == nil {
+		err := f.ask(ctx)
+		f.report(err)
+		if err == nil {
+			f.pause = pauseMin
+			continue
+		}
+		f.moveOn()
+		select {
+		case <-ctx.Done():
+		case <-time.After(f.pause):
+		}
+		f.pause = min(2*f.pause, pauseMax)
+	}
+}
+
+// report logs when the control instances are lost or found again.
+func (f *feed) report(err error) {
+	if (err != nil) == f.lost {
+		return
+	}
+	f.lost = err != nil
+	f.config.Log.Info("control instances", "reached", !f.lost, "at", f.at, "revision", f.request.Revision, "error", err)
+}
+
+// moveOn picks another control instance.
+func (f *feed) moveOn() {
+	if f.client != nil {
+		f.client.Close()
+		f.client = nil
+	}
+}
+
+func (f *feed) ask(ctx context.Context) error {
+	if f.client == nil {
+		f.at = f.next()
+		f.client = wire.NewClient(f.at)
+	}
+	asked := time.Now()
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply wire.SyncReply
+	err := f.client.Call(limited, wire.MethodSync, f.request, &reply)
+	if err != nil {
+		return err
+	}
+	return f.take(ctx, asked, reply)
+}
+
+// next returns a control instance at random, another than the last one if there
+// is one. Seeds stay in the draw, so that a wholly new set is found too.
+func (f *feed) next() netip.AddrPort {
+	all := f.controls
+	if len(all) == 0 || f.config.Random.IntN(4) == 0 {
+		all = f.config.Seeds
+	}
+	i := f.config.Random.IntN(len(all))
+	if all[i] == f.at {
+		i = (i + 1) % len(all)
+	}
+	return all[i]
+}
+
+// take hands the news of an answer on.
+func (f *feed) take(ctx context.Context, asked time.Time, reply wire.SyncReply) error {
+	if reply.Behind {
+		f.learnControls(reply.Controls)
+		return core.At("sync", core.Peer(f.at.String()), errBehind)
+	}
+	update := Update{Confirmed: asked, View: reply.View}
+	if reply.Peers != f.request.Peers {
+		update.Entries = parse(reply.Entries)
+		update.Controls = parse(reply.Controls)
+		f.learnControls(reply.Controls)
+		f.request.Peers = reply.Peers
+	}
+	if reply.View != nil {
+		f.request.Revision = reply.View.Revision
+	}
+	return f.config.Post(ctx, update)
+}
+
+func (f *feed) learnControls(addresses []string) {
+	controls := parse(addresses)
+	if len(controls) > 0 {
+		f.controls = controls
+	}
+}
+
+// parse returns the addresses that can be read.
+func parse(addresses []string) []netip.AddrPort {
+	parsed := make([]netip.AddrPort, 0, len(addresses))
+	for _, address := range addresses {
+		a, err := netip.ParseAddrPort(address)
+		if err == nil {
+			parsed = append(parsed, a)
+		}
+	}
+	return parsed
+}
--- /dev/null
+++ b/route/state.go
@@ -0,0 +1,117 @@
+package route
+
+import (
+	"slices"
+
+	"zinniapulley.dev/core"
+)
+
+// Command is one entry of the replicated log. Exactly one field is set.
+type Command struct {
+	Configure  *Configuration
+	DataCentre *SetDataCentre
+}
+
+// SetDataCentre takes a data centre out or puts it in again.
+type SetDataCentre struct {
+	Name core.DataCentre
+	Out  bool
+}
+
+// Result says what a command did.
+type Result struct {
+	// Version is the configuration in force after the command.
+	Version uint64
+	// Changed reports whether the command changed anything.
+	Changed bool
+	// Revision numbers the state after the command.
+	Revision core.Revision
+}
+
+// State is the replicated state. The exported fields are its snapshot.
+type State struct {
+	Revision      core.Revision
+	Configuration Configuration
+	// Out lists the data centres taken out, in order.
+	Out []core.DataCentre
+}
+
+// maxFormer is the most earlier services kept for a route, latest first. A flow
+// lives for a minute at most, so that older ones hold none.
+const maxFormer = 8
+
+// Apply carries out a command. A configuration that isn't newer changes nothing.
+func (s *State) Apply(command Command) Result {
+	changed := false
+	switch {
+	case command.Configure != nil:
+		changed = s.configure(*command.Configure)
+	case command.DataCentre != nil:
+		changed = s.setDataCentre(*command.DataCentre)
+	}
+	if changed {
+		s.Revision++
+	}
+	return Result{Version: s.Configuration.Version, Changed: changed, Revision: s.Revision}
+}
+
+func (s *State) configure(next Configuration) bool {
+	if next.Version <= s.Configuration.Version && s.Configuration.Source != nil {
+		return false
+	}
+	before := make(map[string]*Route, len(s.Configuration.Routes))
+	for i := range s.Configuration.Routes {
+		route := &s.Configuration.Routes[i]
+		before[route.Address.String()] = route
+	}
+	next.Routes = slices.Clone(next.Routes)
+	for i := range next.Routes {
+		route := &next.Routes[i]
+		route.Former = formerServices(route, before[route.Address.String()])
+	}
+	s.Configuration = next
+	return true
+}
+
+// formerServices lists what the earlier route named and the new one doesn't.
+func formerServices(route, earlier *Route) []core.ServiceName {
+	if earlier == nil {
+		return nil
+	}
+	var former []core.ServiceName
+	add := func(service core.ServiceName) {
+		if !route.MayHold(service) && !slices.Contains(former, service) && len(former) < maxFormer {
+			former = append(former, service)
+		}
+	}
+	for _, share := range earlier.Shares {
+		add(share.Service)
+	}
+	for _, service := range earlier.Former {
+		add(service)
+	}
+	return former
+}
+
+func (s *State) setDataCentre(command SetDataCentre) bool {
+	index, out := slices.BinarySearch(s.Out, command.Name)
+	if out == command.Out {
+		return false
+	}
+	if command.Out {
+		s.Out = slices.Insert(slices.Clone(s.Out), index, command.Name)
+		return true
+	}
+	s.Out = slices.Delete(slices.Clone(s.Out), index, index+1)
+	return true
+}
+
+// View returns what the instances that move packets need of the state. It shares
+// the state's slices, which are never modified in place.
+func (s *State) View() *View {
+	return &View{
+		Revision: s.Revision, Version: s.Configuration.Version,
+		Routes: s.Configuration.Routes, Services: s.Configuration.Services,
+		Out: s.Out, IdleTimeout: s.Configuration.IdleTimeout,
+	}
+}
--- /dev/null
+++ b/route/view.go
@@ -0,0 +1,58 @@
+package route
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"zinniapulley.dev/core"
+)
+
+// View is the part of the state that moves packets. It is immutable.
+type View struct {
+	Revision core.Revision
+	// Version is that of the configuration; zero before the first one.
+	Version     uint64
+	Routes      []Route
+	Services    []Service
+	Out         []core.DataCentre
+	IdleTimeout time.Duration
+}
+
+// Table is a view made ready for looking routes up.
+type Table struct {
+	View     *View
+	routes   map[netip.AddrPort]*Route
+	services map[core.ServiceName]*Service
+}
+
+// Compile returns the table of a view.
+func Compile(view *View) *Table {
+	t := &Table{
+		View:     view,
+		routes:   make(map[netip.AddrPort]*Route, len(view.Routes)),
+		services: make(map[core.ServiceName]*Service, len(view.Services)),
+	}
+	for i := range view.Routes {
+		t.routes[view.Routes[i].Address] = &view.Routes[i]
+	}
+	for i := range view.Services {
+		t.services[view.Services[i].Name] = &view.Services[i]
+	}
+	return t
+}
+
+// Route returns the route at an address, nil if there is none.
+func (t *Table) Route(address netip.AddrPort) *Route {
+	return t.routes[address]
+}
+
+// Service returns a service, nil if it isn't configured.
+func (t *Table) Service(name core.ServiceName) *Service {
+	return t.services[name]
+}
+
+// DataCentreOut reports whether operators have taken the data centre out.
+func (t *Table) DataCentreOut(name core.DataCentre) bool {
+	return slices.Contains(t.View.Out, name)
+}
--- /dev/null
+++ b/wire/hop/hop.go
@@ -0,0 +1,157 @@
+// Package hop encodes the datagrams between entry instances, companions and
+// control instances in pass-through forwarding: packets on their way, notes about
+// flows, and statuses. A datagram is a byte for its kind, followed by a packet
+// with a small head, or by a message in CBOR (RFC 8949).
+package hop
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/passthrough"
+)
+
+// Kind says what a datagram carries.
+type Kind uint8
+
+const (
+	// KindForward is a packet from an entry instance to one companion.
+	KindForward Kind = iota + 1
+	// KindSeek is a packet of which several companions get a copy.
+	KindSeek
+	// KindRefused is an opening packet that a companion gives back.
+	KindRefused
+	// KindNotHere is another packet that a companion gives back.
+	KindNotHere
+	// KindNote is a passthrough.Note.
+	KindNote
+	// KindStatus is a passthrough.Status.
+	KindStatus
+	// KindHello is a Hello.
+	KindHello
+)
+
+const (
+	// packetHead is the length of what precedes a packet: the kind, the reason and
+	// the version of the configuration in force at the sender.
+	packetHead = 1 + 1 + 8
+	// MaxDatagram is the most bytes of one datagram.
+	MaxDatagram = 2048
+)
+
+// Envelope is a packet on its way between two instances.
+type Envelope struct {
+	Kind    Kind
+	Reason  passthrough.Reason
+	Version uint64
+	// Packet is the datagram of the caller, as it was taken in.
+	Packet []byte
+}
+
+// Hello tells control instances of an entry instance.
+type Hello struct {
+	// Packets is the address at which it takes notes and statuses.
+	Packets netip.AddrPort
+}
+
+// AppendEnvelope appends the encoded envelope to the buffer.
+func AppendEnvelope(buffer []byte, e Envelope) []byte {
+	buffer = append(buffer, byte(e.Kind), byte(e.Reason))
+	buffer = binary.BigEndian.AppendUint64(buffer, e.Version)
+	return append(buffer, e.Packet...)
+}
+
+// KindOf returns the kind of a datagram, zero for an empty one.
+func KindOf(datagram []byte) Kind {
+	if len(datagram) == 0 {
+		return 0
+	}
+	return Kind(datagram[0])
+}
+
+// DecodeEnvelope returns the envelope of a datagram. Its packet shares memory
+// with the datagram.
+func DecodeEnvelope(datagram []byte) (Envelope, error) {
+	if len(datagram) < packetHead {
+		return Envelope{}, errors.Errorf("%d bytes are too few for an envelope", len(datagram))
+	}
+	return Envelope{
+		Kind: Kind(datagram[0]), Reason: passthrough.Reason(datagram[1]),
+		Version: binary.BigEndian.Uint64(datagram[2:packetHead]), Packet: datagram[packetHead:],
+	}, nil
+}
+
+// note is the form of a passthrough.Note on the wire.
+type note struct {
+	Kind    passthrough.NoteKind `cbor:"1,keyasint"`
+	Caller  netip.AddrPort       `cbor:"2,keyasint"`
+	Service netip.AddrPort       `cbor:"3,keyasint"`
+	Running int                  `cbor:"4,keyasint"`
+	Flows   int                  `cbor:"5,keyasint"`
+}
+
+// EncodeNote returns the datagram of a note.
+func EncodeNote(n passthrough.Note) ([]byte, error) {
+	return encode(KindNote, note{Kind: n.Kind, Caller: n.Key.Caller, Service: n.Key.Service, Running: n.Running, Flows: n.Flows})
+}
+
+// DecodeNote returns the note of a datagram.
+func DecodeNote(datagram []byte) (passthrough.Note, error) {
+	var n note
+	err := decode(datagram, &n)
+	key := core.FlowKey{Caller: n.Caller, Service: n.Service}
+	return passthrough.Note{Kind: n.Kind, Key: key, Running: n.Running, Flows: n.Flows}, err
+}
+
+// status is the form of a passthrough.Status on the wire.
+type status struct {
+	Companion  netip.AddrPort   `cbor:"1,keyasint"`
+	DataCentre core.DataCentre  `cbor:"2,keyasint"`
+	Service    core.ServiceName `cbor:"3,keyasint"`
+	Server     string           `cbor:"4,keyasint"`
+	Ready      bool             `cbor:"5,keyasint"`
+	Departed   bool             `cbor:"6,keyasint"`
+	Cold       bool             `cbor:"7,keyasint"`
+	Slots      int              `cbor:"8,keyasint"`
+	Running    int              `cbor:"9,keyasint"`
+	Flows      int              `cbor:"10,keyasint"`
+}
+
+// EncodeStatus returns the datagram of a status.
+func EncodeStatus(s passthrough.Status) ([]byte, error) {
+	return encode(KindStatus, status(s))
+}
+
+// DecodeStatus returns the status of a datagram.
+func DecodeStatus(datagram []byte) (passthrough.Status, error) {
+	var s status
+	err := decode(datagram, &s)
+	return passthrough.Status(s), err
+}
+
+// EncodeHello returns the datagram of a hello.
+func EncodeHello(h Hello) ([]byte, error) {
+	return encode(KindHello, h)
+}
+
+// DecodeHello returns the hello of a datagram.
+func DecodeHello(datagram []byte) (Hello, error) {
+	var h Hello
+	err := decode(datagram, &h)
+	return h, err
+}
+
+func encode(kind Kind, message any) ([]byte, error) {
+	body, err := cbor.Marshal(message)
+	return append([]byte{byte(kind)}, body...), core.At("encode datagram", "", err)
+}
+
+func decode(datagram []byte, message any) error {
+	if len(datagram) < 1 {
+		return errors.New("the datagram is empty")
+	}
+	return core.At("decode datagram", "", cbor.Unmarshal(datagram[1:], message))
+}
--- /dev/null
+++ b/wire/replica.go
@@ -0,0 +1,94 @@
+package wire
+
+import (
+	"zinniapulley.dev/consensus"
+)
+
+// Methods of the replicated log's members.
+const (
+	// MethodDeliver hands messages of the replicated log to a member.
+	MethodDeliver = "Replica.Deliver"
+	// MethodJoin asks for an instance to be made a member.
+	MethodJoin = "Replica.Join"
+)
+
+// DeliverRequest carries messages from one member to another, in order.
+type DeliverRequest struct {
+	// From is the address at which the sender takes messages.
+	From     string
+	Messages []ReplicaMessage
+}
+
+// DeliverReply is the empty answer to a DeliverRequest.
+type DeliverReply struct{ Taken int }
+
+// JoinRequest asks for a member to be added as a learner.
+type JoinRequest struct {
+	ID      consensus.MemberID
+	Address string
+}
+
+// JoinReply names the leader's address, empty if unknown. Added reports that the
+// answering instance leads and has taken the request.
+type JoinReply struct {
+	Leader string
+	Added  bool
+}
+
+// ReplicaMessage is a consensus.Message in a form that encoding/gob carries: at
+// most one body is set, and a message without fields is named by a flag.
+type ReplicaMessage struct {
+	From, To        consensus.MemberID
+	Term            consensus.Term
+	VoteRequest     *consensus.VoteRequest
+	VoteReply       *consensus.VoteReply
+	Append          *consensus.Append
+	AppendReply     *consensus.AppendReply
+	InstallSnapshot *consensus.InstallSnapshot
+	CampaignNow     bool
+	Expelled        bool
+}
+
+// EncodeReplica returns the message in its form for the wire.
+func EncodeReplica(m consensus.Message) ReplicaMessage {
+	out := ReplicaMessage{From: m.From, To: m.To, Term: m.Term}
+	switch body := m.Body.(type) {
+	case consensus.VoteRequest:
+		out.VoteRequest = &body
+	case consensus.VoteReply:
+		out.VoteReply = &body
+	case consensus.Append:
+		out.Append = &body
+	case consensus.AppendReply:
+		out.AppendReply = &body
+	case consensus.InstallSnapshot:
+		out.InstallSnapshot = &body
+	case consensus.CampaignNow:
+		out.CampaignNow = true
+	case consensus.Expelled:
+		out.Expelled = true
+	}
+	return out
+}
+
+// DecodeReplica returns the message, and false when it has no body.
+func DecodeReplica(m ReplicaMessage) (consensus.Message, bool) {
+	out := consensus.Message{From: m.From, To: m.To, Term: m.Term}
+	switch {
+	case m.VoteRequest != nil:
+		out.Body = *m.VoteRequest
+	case m.VoteReply != nil:
+		out.Body = *m.VoteReply
+	case m.Append != nil:
+		out.Body = *m.Append
+	case m.AppendReply != nil:
+		out.Body = *m.AppendReply
+	case m.InstallSnapshot != nil:
+		out.Body = *m.InstallSnapshot
+	case m.CampaignNow:
+		out.Body = consensus.CampaignNow{}
+	case m.Expelled:
+		out.Body = consensus.Expelled{}
+	}
+	return out, out.Body != nil
+}
