--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -107,8 +107,11 @@
 	n.index = n.disk.Snapshot.Index
 	n.hash = c.committed[n.index].hash
 	n.core = New(c.now, testConfig(n.id), Stored{
-		HardState: n.disk.HardState, Snapshot: n.disk.Snapshot, Entries: slices.Clone(n.disk.Entries),
+		HardState: n.disk.HardState, Snapshot: n.disk.Snapshot, Entries: slices.Clone(n.disk.Entries), Commit: n.disk.Commit,
 	})
+	for _, action := range n.core.Start() {
+		c.carryOut(n, action)
+	}
 }
 
 // crash stops a node and loses the unsynced writes but for the first keep.
@@ -141,6 +144,7 @@
 			n.disk.Entries = nil
 		}
 	}
+	n.disk.Commit = max(n.disk.Commit, p.Commit)
 	if len(p.Entries) > 0 {
 		from := p.Entries[0].Index
 		n.disk.Entries = slices.DeleteFunc(slices.Clone(n.disk.Entries), func(e Entry) bool { return e.Index >= from })
--- /dev/null
+++ b/passthrough/dispatcher_test.go
@@ -0,0 +1,257 @@
+package passthrough_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/route"
+)
+
+var (
+	start     = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	address   = netip.MustParseAddrPort("198.18.0.1:443")
+	otherSite = core.DataCentre("south")
+)
+
+// companionAt names a companion by its number.
+func companionAt(number int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 8000)
+}
+
+func flowKey(port int) core.FlowKey {
+	return core.FlowKey{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), uint16(port)), Service: address}
+}
+
+func syn(port int) *passthrough.Packet {
+	return &passthrough.Packet{Key: flowKey(port), Flags: core.TCPSyn, Seq: 1000}
+}
+
+func data(port int, ack uint32) *passthrough.Packet {
+	return &passthrough.Packet{Key: flowKey(port), Flags: core.TCPAck, Seq: 1001, Ack: ack, Length: 10}
+}
+
+func table(revision core.Revision, out ...core.DataCentre) *route.Table {
+	return route.Compile(&route.View{
+		Revision: revision, Version: uint64(revision), Out: out, IdleTimeout: 15 * time.Second,
+		Routes: []route.Route{{
+			Name: "r", Address: address, Timeout: time.Second, Objective: 100 * time.Millisecond, Priority: 2,
+			Shares: []route.Share{{Service: "feed", Weight: 1}}, Former: []core.ServiceName{"old"},
+		}},
+		Services: []route.Service{{Name: "feed", MaxConnections: 5, ColdFor: 2 * time.Second, ColdRate: 2}},
+	})
+}
+
+func statusOf(number int) passthrough.Status {
+	return passthrough.Status{
+		Companion: companionAt(number), DataCentre: "north", Service: "feed", Server: fmt.Sprintf("b%d", number), Ready: true, Slots: 4,
+	}
+}
+
+// dispatcher returns a Dispatcher that has long run and knows the companions.
+func dispatcher(companions int) *passthrough.Dispatcher {
+	d := passthrough.NewDispatcher(start.Add(-time.Hour), "north", rand.New(rand.NewPCG(1, 2)))
+	d.SetTable(table(1))
+	for i := 1; i <= companions; i++ {
+		d.Status(start, statusOf(i))
+	}
+	return d
+}
+
+func targets(actions []passthrough.Dispatch, kind passthrough.DispatchKind) []netip.AddrPort {
+	var to []netip.AddrPort
+	for _, a := range actions {
+		if a.Kind == kind {
+			to = append(to, a.To)
+		}
+	}
+	return to
+}
+
+func TestCopiesOfAnOpeningPacketGoWhereTheFirstWasAdmitted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(5)
+	first := targets(d.Handle(start, syn(1)), passthrough.DispatchForward)
+	g.Expect(first).To(gomega.HaveLen(1))
+	d.Note(start, first[0], passthrough.Note{Kind: passthrough.NoteAdmitted, Key: flowKey(1)})
+	for _, after := range []time.Duration{50 * time.Millisecond, 200 * time.Millisecond, 600 * time.Millisecond} {
+		g.Expect(targets(d.Handle(start.Add(after), syn(1)), passthrough.DispatchForward)).To(gomega.Equal(first))
+	}
+}
+
+func TestCopyOfAnUnansweredOpeningPacketIsTriedElsewhere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(5)
+	first := targets(d.Handle(start, syn(1)), passthrough.DispatchForward)
+	second := targets(d.Handle(start.Add(200*time.Millisecond), syn(1)), passthrough.DispatchForward)
+	g.Expect(second).To(gomega.HaveLen(1))
+	g.Expect(second).NotTo(gomega.Equal(first))
+	// What the caller acknowledges may be either's answer: both get it.
+	both := targets(d.Handle(start.Add(210*time.Millisecond), data(1, 5001)), passthrough.DispatchForward)
+	g.Expect(both).To(gomega.ConsistOf(first[0], second[0]))
+}
+
+func TestRefusedFlowIsTriedAtOthersAndThenReset(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(3)
+	actions := d.Handle(start, syn(1))
+	seen := map[netip.AddrPort]bool{}
+	for range 3 {
+		to := targets(actions, passthrough.DispatchForward)
+		g.Expect(to).To(gomega.HaveLen(1))
+		g.Expect(seen[to[0]]).To(gomega.BeFalse())
+		seen[to[0]] = true
+		actions = d.Refused(start, to[0], syn(1))
+	}
+	g.Expect(actions).To(gomega.HaveLen(1))
+	g.Expect(actions[0].Kind).To(gomega.Equal(passthrough.DispatchReset))
+	g.Expect(actions[0].ResetSeq).To(gomega.BeZero())
+}
+
+func TestNewFlowsAvoidTheDataCentreThatIsOut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(2)
+	far := statusOf(3)
+	far.DataCentre = otherSite
+	d.Status(start, far)
+	d.SetTable(table(2, "north"))
+	for port := range 20 {
+		to := targets(d.Handle(start, syn(port)), passthrough.DispatchForward)
+		g.Expect(to).To(gomega.Equal([]netip.AddrPort{companionAt(3)}))
+	}
+}
+
+// An open flow stays with its companion when its data centre is taken out or its
+// backend server takes no more flows.
+func TestOpenFlowStaysThroughPlannedChange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(3)
+	owner := targets(d.Handle(start, syn(1)), passthrough.DispatchForward)[0]
+	d.Note(start, owner, passthrough.Note{Kind: passthrough.NoteOpened, Key: flowKey(1)})
+	d.SetTable(table(2, "north"))
+	leaving := statusOf(int(owner.Addr().As4()[3]))
+	leaving.Ready = false
+	d.Status(start, leaving)
+	g.Expect(targets(d.Handle(start, data(1, 5001)), passthrough.DispatchForward)).To(gomega.Equal([]netip.AddrPort{owner}))
+}
+
+func TestUnknownFlowIsSoughtWhereItMayLive(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(2)
+	former, never := statusOf(3), statusOf(4)
+	former.Service, never.Service = "old", "other"
+	d.Status(start, former)
+	d.Status(start, never)
+	sought := targets(d.Handle(start, data(1, 5001)), passthrough.DispatchSeek)
+	g.Expect(sought).To(gomega.ConsistOf(companionAt(1), companionAt(2), companionAt(3)))
+}
+
+func TestFlowIsResetOnlyOnceItLivesNowhere(t *testing.T) {
+	absent := passthrough.Note{Kind: passthrough.NoteAbsent, Key: flowKey(1)}
+	t.Run("all have answered", func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		d := dispatcher(3)
+		d.Handle(start, data(1, 5001))
+		g.Expect(d.Note(start, companionAt(1), absent)).To(gomega.BeEmpty())
+		g.Expect(d.Note(start, companionAt(2), absent)).To(gomega.BeEmpty())
+		actions := d.Note(start, companionAt(3), absent)
+		g.Expect(targets(actions, passthrough.DispatchReset)).To(gomega.HaveLen(1))
+		g.Expect(actions[0].ResetSeq).To(gomega.Equal(uint32(5001)))
+	})
+	t.Run("one has it", func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		d := dispatcher(3)
+		d.Handle(start, data(1, 5001))
+		d.Note(start, companionAt(1), absent)
+		d.Note(start, companionAt(2), passthrough.Note{Kind: passthrough.NoteOpened, Key: flowKey(1)})
+		g.Expect(d.Note(start, companionAt(3), absent)).To(gomega.BeEmpty())
+		g.Expect(targets(d.Handle(start, data(1, 5001)), passthrough.DispatchForward)).To(gomega.Equal([]netip.AddrPort{companionAt(2)}))
+	})
+	t.Run("answers of long ago don't count", func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		d := dispatcher(2)
+		d.Handle(start, data(1, 5001))
+		d.Note(start, companionAt(1), absent)
+		later := start.Add(2 * time.Second)
+		d.Handle(later, data(1, 5001))
+		g.Expect(d.Note(later, companionAt(2), absent)).To(gomega.BeEmpty())
+	})
+	t.Run("the caller closes", func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		d := dispatcher(1)
+		closing := data(1, 5001)
+		closing.Flags |= core.TCPFin
+		d.Handle(start, closing)
+		g.Expect(d.Note(start, companionAt(1), absent)).To(gomega.BeEmpty())
+	})
+	t.Run("the entry instance may not know all companions", func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		d := passthrough.NewDispatcher(start, "north", rand.New(rand.NewPCG(1, 2)))
+		d.SetTable(table(1))
+		d.Status(start, statusOf(1))
+		d.Handle(start, data(1, 5001))
+		g.Expect(d.Note(start, companionAt(1), absent)).To(gomega.BeEmpty())
+	})
+}
+
+// After a full restart an entry instance reset every caller that came before the
+// companions had spoken, and the callers ran out of tries.
+func TestStartingEntryInstanceLeavesCallersToRepeat(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := passthrough.NewDispatcher(start, "north", rand.New(rand.NewPCG(1, 2)))
+	d.SetTable(table(1))
+	actions := d.Handle(start.Add(300*time.Millisecond), syn(1))
+	g.Expect(actions).To(gomega.HaveLen(1))
+	g.Expect(actions[0].Kind).To(gomega.Equal(passthrough.DispatchDrop))
+	d.Status(start.Add(400*time.Millisecond), statusOf(1))
+	g.Expect(targets(d.Handle(start.Add(500*time.Millisecond), syn(1)), passthrough.DispatchForward)).To(gomega.HaveLen(1))
+}
+
+func TestUnknownRouteIsReset(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(1)
+	p := syn(1)
+	p.Key.Service = netip.MustParseAddrPort("198.18.0.1:444")
+	g.Expect(targets(d.Handle(start, p), passthrough.DispatchReset)).To(gomega.HaveLen(1))
+}
+
+// Long flows are spread evenly at their opening: busiest over mean stays within
+// 1.15.
+func TestFlowsAreSpreadEvenly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const companions, flows = 7, 700
+	d := dispatcher(companions)
+	count := map[netip.AddrPort]int{}
+	for port := range flows {
+		to := targets(d.Handle(start, syn(port)), passthrough.DispatchForward)[0]
+		count[to]++
+		if port%10 == 0 {
+			for i := 1; i <= companions; i++ {
+				s := statusOf(i)
+				s.Flows = count[companionAt(i)]
+				d.Status(start, s)
+			}
+		}
+	}
+	busiest := 0
+	for _, c := range count {
+		busiest = max(busiest, c)
+	}
+	g.Expect(float64(busiest) * companions / flows).To(gomega.BeNumerically("<=", 1.15))
+}
+
+func BenchmarkForward(b *testing.B) {
+	d := dispatcher(7)
+	owner := targets(d.Handle(start, syn(1)), passthrough.DispatchForward)[0]
+	d.Note(start, owner, passthrough.Note{Kind: passthrough.NoteOpened, Key: flowKey(1)})
+	p := data(1, 5001)
+	b.ReportAllocs()
+	for b.Loop() {
+		d.Handle(start, p)
+	}
+}
--- a/passthrough/gate.go
+++ b/passthrough/gate.go
@@ -104,6 +104,8 @@
 	// server opened the flow, is known.
 	answered bool
 	synAck   uint32
+	// proven says that the backend server has sent something on the open flow.
+	proven bool
 	// waiting says that a request waits for its answer, since then.
 	waiting   bool
 	since     time.Time
@@ -243,7 +245,7 @@
 		g.act(GateDeliver, ReasonUnknownFlow, p)
 		return
 	}
-	if !p.Flags.Has(core.TCPAck) || p.Ack-flow.synAck > sequenceSpan {
+	if !p.Flags.Has(core.TCPAck) || p.Ack-flow.synAck > confirmSpan {
 		entry, sought := flow.entry, flow.sought
 		g.forget(p.Key, flow)
 		g.notHere(entry, sought, p, ReasonNotHere)
--- a/passthrough/gate_answer.go
+++ b/passthrough/gate_answer.go
@@ -44,6 +44,7 @@
 		g.open++
 		g.note(NoteOpened, ReasonOpened, p.Key, flow.entry)
 	}
+	flow.proven = true
 	if p.Length > 0 && flow.waiting {
 		g.pace.answered(now, g.running >= g.target.Slots)
 		g.endRequest(flow)
@@ -71,7 +72,7 @@
 	case p.Flags.Opens():
 		g.forget(p.Key, flow)
 		g.out = append(g.out, GateAction{Kind: GateRefuse, Reason: ReasonFull, To: entry, Packet: p})
-	case flow.stage == stageOpen:
+	case flow.stage == stageOpen && flow.proven:
 		g.lost(p, flow)
 	case flow.stage == stageClosed:
 		g.act(GateDrop, ReasonFlowLost, p)
--- a/passthrough/packet.go
+++ b/passthrough/packet.go
@@ -133,10 +133,10 @@
 	Running, Flows int
 }
 
-// sequenceSpan is how far an acknowledgement may be ahead of the sequence number
-// with which the backend server opened the flow: what a flow may carry before
-// its first packet arrives here, and then some.
-const sequenceSpan = 1 << 24
+// confirmSpan is how far a caller's confirmation may be ahead of the sequence
+// number with which the backend server answered: that packet counts as one, and
+// nothing follows it before the confirmation.
+const confirmSpan = 1
 
 // sweepInterval is the time between looks for flows to forget.
 const sweepInterval = time.Second
