--- /dev/null
+++ b/durable/crash_test.go
@@ -0,0 +1,166 @@
+package durable_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/onsi/gomega"
+	"zinniapulley.dev/consensus"
+	"zinniapulley.dev/durable"
+)
+
+const folder = "/data"
+
+func base() durable.Base {
+	return durable.Base{Self: consensus.MemberID{Instance: "a", Incarnation: 7}, Stored: consensus.Stored{HardState: consensus.HardState{Term: 1}}}
+}
+
+// action returns the i-th Persist of a run: entries, now and then a new term, a
+// truncation or a snapshot.
+func action(random *rand.Rand, i int) consensus.Persist {
+	p := consensus.Persist{Sequence: consensus.Sequence(i)}
+	first := consensus.Index(i)
+	if random.IntN(4) == 0 && i > 2 {
+		first--
+	}
+	for index := first; index <= consensus.Index(i); index++ {
+		command := make([]byte, 1+random.IntN(200))
+		command[0] = byte(random.IntN(256))
+		p.Entries = append(p.Entries, consensus.Entry{Index: index, Term: consensus.Term(i), Kind: consensus.EntryCommand, Command: command})
+	}
+	if random.IntN(3) == 0 {
+		p.HardState = &consensus.HardState{Term: consensus.Term(i), Vote: consensus.MemberID{Instance: "b", Incarnation: 9}}
+	}
+	if random.IntN(8) == 0 && i > 4 {
+		p.Snapshot = &consensus.Snapshot{Index: consensus.Index(i - 3), Term: 1, State: []byte(fmt.Sprint("state ", i))}
+	}
+	return p
+}
+
+// expected returns the state after each number of saves, by a folder that never
+// fails.
+func expected(t *testing.T, seed uint64, saves int) []durable.Base {
+	t.Helper()
+	random := rand.New(rand.NewPCG(seed, 3))
+	opened, found, err := durable.Open(newFiles(), folder)
+	if err != nil || found {
+		t.Fatal(found, err)
+	}
+	err = opened.Begin(base())
+	states := []durable.Base{opened.Base()}
+	for i := 1; i <= saves && err == nil; i++ {
+		err = opened.Save([]consensus.Persist{action(random, i)})
+		states = append(states, opened.Base())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return states
+}
+
+// Power is lost at each operation in turn, and what wasn't synced is kept, lost or
+// torn at random. The folder must hold at least what was reported as saved, and
+// nothing that was never saved.
+func TestPowerLossAtEveryOperation(t *testing.T) {
+	const saves = 12
+	for seed := range uint64(6) {
+		states := expected(t, seed, saves)
+		for failAt := 1; ; failAt++ {
+			files := newFiles()
+			files.failAt = failAt
+			reported, finished := saveUntilCut(files, seed, saves)
+			if finished {
+				break
+			}
+			files.losePower(rand.New(rand.NewPCG(seed, uint64(failAt))))
+			checkKept(t, files, states, reported, fmt.Sprintf("seed %d, operation %d", seed, failAt))
+		}
+	}
+}
+
+// saveUntilCut runs until the power is cut. It returns how many saves were
+// reported, -1 if not even the first state was.
+func saveUntilCut(files *memoryFiles, seed uint64, saves int) (reported int, finished bool) {
+	random := rand.New(rand.NewPCG(seed, 3))
+	opened, _, err := durable.Open(files, folder)
+	if err != nil {
+		return -1, false
+	}
+	err = opened.Begin(base())
+	if err != nil {
+		return -1, false
+	}
+	for i := 1; i <= saves; i++ {
+		err = opened.Save([]consensus.Persist{action(random, i)})
+		if err != nil {
+			return i - 1, false
+		}
+	}
+	return saves, true
+}
+
+func checkKept(t *testing.T, files *memoryFiles, states []durable.Base, reported int, where string) {
+	t.Helper()
+	opened, found, err := durable.Open(files, folder)
+	if err != nil {
+		t.Fatalf("%s: %v", where, err)
+	}
+	if !found {
+		if reported >= 0 {
+			t.Fatalf("%s: %d saves were reported, and nothing is there", where, reported)
+		}
+		return
+	}
+	for i := max(reported, 0); i < len(states); i++ {
+		if reflect.DeepEqual(opened.Base(), states[i]) {
+			return
+		}
+	}
+	t.Fatalf("%s: after %d reported saves the folder holds %+v", where, reported, opened.Base())
+}
+
+// A disk that refuses writes for a while loses nothing, and takes the same state
+// once it has room.
+func TestFullDiskRefusesAndRecovers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	files := newFiles()
+	opened, _, err := durable.Open(files, folder)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(opened.Begin(base())).To(gomega.Succeed())
+	random := rand.New(rand.NewPCG(1, 3))
+	first, second := action(random, 1), action(random, 2)
+	g.Expect(opened.Save([]consensus.Persist{first})).To(gomega.Succeed())
+	files.full = true
+	for range 3 {
+		err = opened.Save([]consensus.Persist{second})
+		g.Expect(errors.Is(err, errFull)).To(gomega.BeTrue())
+	}
+	files.full = false
+	g.Expect(opened.Save([]consensus.Persist{second})).To(gomega.Succeed())
+	files.losePower(rand.New(rand.NewPCG(1, 1)))
+	again, found, err := durable.Open(files, folder)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(found).To(gomega.BeTrue())
+	g.Expect(again.Base()).To(gomega.Equal(opened.Base()))
+}
+
+// A thousand configurations of 100 KB stay within a bounded folder.
+func TestFolderStaysBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	files := newFiles()
+	opened, _, err := durable.Open(files, folder)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(opened.Begin(base())).To(gomega.Succeed())
+	body := make([]byte, 100<<10)
+	for i := 1; i <= 1000; i++ {
+		p := consensus.Persist{Entries: []consensus.Entry{{Index: consensus.Index(i), Term: 1, Kind: consensus.EntryCommand, Command: body}}}
+		if i%10 == 0 {
+			p.Snapshot = &consensus.Snapshot{Index: consensus.Index(i - 1), Term: 1, State: body}
+		}
+		g.Expect(opened.Save([]consensus.Persist{p})).To(gomega.Succeed())
+		g.Expect(files.bytes()).To(gomega.BeNumerically("<", 32<<20))
+	}
+}
--- /dev/null
+++ b/replica/replica_test.go
@@ -0,0 +1,215 @@
+package replica_test
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"zinniapulley.dev/consensus"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/durable"
+	"zinniapulley.dev/loop"
+	"zinniapulley.dev/replica"
+	"zinniapulley.dev/wire"
+)
+
+// register is a machine that remembers the last command.
+type register struct{ value string }
+
+func (r *register) Apply(command []byte) any  { r.value = string(command); return r.value }
+func (r *register) Snapshot() ([]byte, error) { return []byte(r.value), nil }
+func (r *register) Restore(state []byte) error {
+	r.value = string(state)
+	return nil
+}
+
+// stallingDisk is a disk whose syncs wait while it is stalled.
+type stallingDisk struct {
+	durable.Disk
+	stalled *atomic.Bool
+}
+
+type stallingFile struct {
+	durable.File
+	stalled *atomic.Bool
+}
+
+func (d stallingDisk) Create(name string) (durable.File, error) {
+	file, err := d.Disk.Create(name)
+	return stallingFile{file, d.stalled}, err
+}
+
+func (f stallingFile) Sync() error {
+	for f.stalled.Load() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return f.File.Sync()
+}
+
+// member runs one replica with its own control goroutine and RPC server.
+type member struct {
+	machine *register
+	replica *replica.Replica
+	loop    *loop.Loop[func(*member, time.Time)]
+	stalled atomic.Bool
+}
+
+func (m *member) Handle(now time.Time, e func(*member, time.Time)) { e(m, now) }
+func (m *member) Wake(now time.Time)                               { m.replica.Wake(now) }
+func (m *member) Deadline() (time.Time, bool)                      { return m.replica.Deadline(), true }
+
+// deliverService takes the messages of peers.
+type deliverService struct{ m *member }
+
+func (s *deliverService) Deliver(request wire.DeliverRequest, reply *wire.DeliverReply) error {
+	for _, encoded := range request.Messages {
+		message, ok := wire.DecodeReplica(encoded)
+		if ok {
+			event := replica.Delivered{Message: message, Address: netip.MustParseAddrPort(request.From)}
+			_ = s.m.loop.Post(func(m *member, now time.Time) { m.replica.Handle(now, event) })
+		}
+	}
+	return nil
+}
+
+func startMembers(t *testing.T, count int) []*member {
+	t.Helper()
+	var servers []*wire.Server
+	var voters []consensus.Member
+	for i := range count {
+		server, err := wire.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		servers = append(servers, server)
+		id := consensus.MemberID{Instance: core.InstanceID("m" + strconv.Itoa(i)), Incarnation: 1}
+		voters = append(voters, consensus.Member{ID: id, Address: server.Address()})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	var members []*member
+	for i, server := range servers {
+		members = append(members, startMember(t, ctx, server, voters, i))
+	}
+	return members
+}
+
+func startMember(t *testing.T, ctx context.Context, server *wire.Server, voters []consensus.Member, i int) *member {
+	t.Helper()
+	m := &member{machine: &register{}, loop: loop.New[func(*member, time.Time)](256)}
+	folder, _, err := durable.Open(stallingDisk{stalled: &m.stalled}, t.TempDir())
+	if err == nil {
+		err = folder.Begin(durable.Base{Self: voters[i].ID, Stored: consensus.NewGroup(voters)})
+	}
+	if err == nil {
+		m.replica, err = replica.New(ctx, time.Now(), replica.Config{
+			Address: server.Address(), Machine: m.machine, Log: slog.New(slog.DiscardHandler),
+			Random: rand.New(rand.NewPCG(1, uint64(i))),
+			Post: func(ctx context.Context, e replica.Event) error {
+				return m.loop.Send(ctx, func(m *member, now time.Time) { m.replica.Handle(now, e) })
+			},
+		}, folder)
+	}
+	if err == nil {
+		err = server.Register("Replica", &deliverService{m})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve(ctx)
+	go m.loop.Run(ctx, m)
+	return m
+}
+
+// ask runs a question on the control goroutine.
+func ask[A any](m *member, question func(*member, time.Time, loop.Reply[A])) A {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	answer, _ := loop.Ask(ctx, m.loop, func(r loop.Reply[A]) func(*member, time.Time) {
+		return func(m *member, now time.Time) { question(m, now, r) }
+	})
+	return answer
+}
+
+func leading(m *member) bool {
+	return ask(m, func(m *member, _ time.Time, r loop.Reply[bool]) { r.Answer(m.replica.Leading()) })
+}
+
+func propose(m *member, value string) string {
+	return ask(m, func(m *member, now time.Time, r loop.Reply[string]) {
+		m.replica.Propose(now, []byte(value), func(result any, err error) {
+			if err != nil {
+				r.Answer("refused: " + err.Error())
+				return
+			}
+			r.Answer(result.(string))
+		})
+	})
+}
+
+// leaderAmong waits for one of the members to lead.
+func leaderAmong(t *testing.T, members []*member) *member {
+	t.Helper()
+	var leader *member
+	gomega.NewWithT(t).Eventually(func() bool {
+		for _, m := range members {
+			if leading(m) {
+				leader = m
+				return true
+			}
+		}
+		return false
+	}, 20*time.Second, 10*time.Millisecond).Should(gomega.BeTrue())
+	return leader
+}
+
+func TestAcceptedCommandReachesAllMembers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	members := startMembers(t, 3)
+	leader := leaderAmong(t, members)
+	g.Expect(propose(leader, "one")).To(gomega.Equal("one"))
+	for _, m := range members {
+		g.Eventually(func() string {
+			return ask(m, func(m *member, _ time.Time, r loop.Reply[string]) { r.Answer(m.machine.value) })
+		}, 20*time.Second, 10*time.Millisecond).Should(gomega.Equal("one"))
+	}
+}
+
+// A leader whose disk has stalled hands over, so that commands are accepted again
+// while the stall lasts.
+func TestStalledDiskOfTheLeaderLeadsToAnotherLeader(t *testing.T) {
+	g := gomega.NewWithT(t)
+	members := startMembers(t, 3)
+	leader := leaderAmong(t, members)
+	g.Expect(propose(leader, "before")).To(gomega.Equal("before"))
+	leader.stalled.Store(true)
+	defer leader.stalled.Store(false)
+	go propose(leader, "held")
+	var others []*member
+	for _, m := range members {
+		if m != leader {
+			others = append(others, m)
+		}
+	}
+	next := leaderAmong(t, others)
+	g.Eventually(func() string { return propose(next, "after") }, 20*time.Second, 50*time.Millisecond).Should(gomega.Equal("after"))
+}
+
+// A member that isn't the leader refuses by name of the reason.
+func TestFollowerRefuses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	members := startMembers(t, 3)
+	leader := leaderAmong(t, members)
+	for _, m := range members {
+		if m != leader && !leading(m) {
+			g.Expect(strings.HasPrefix(propose(m, "x"), "refused")).To(gomega.BeTrue())
+		}
+	}
+}
