--- a/cmd/zinniapulley/platform.go
+++ b/cmd/zinniapulley/platform.go
@@ -167,7 +167,7 @@
 		Instance: s.Instance, DataCentre: s.DataCentre, Packets: s.Listen.Packets, Outbound: s.Listen.Outbound,
 		Server: s.Server, Service: s.Service, Seeds: s.Seeds,
 		Gate: passthrough.GateConfig{
-			DataCentre: s.DataCentre, BeatLimit: time.Duration(float64(s.AnnounceInterval) * announcementsMissed),
+			DataCentre: s.DataCentre, AnnouncementLimit: time.Duration(float64(s.AnnounceInterval) * announcementsMissed),
 			ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, MaxFlowAge: s.Bounds.MaxFlowAge,
 		},
 		Codec: platform.Datagrams{CallerPort: s.Listen.Packets.Port()}, Log: c.log, Metrics: c.metrics,
--- a/passthrough/gate.go
+++ b/passthrough/gate.go
@@ -34,9 +34,9 @@
 // GateConfig sets up a Gate.
 type GateConfig struct {
 	DataCentre core.DataCentre
-	// BeatLimit is how long a backend server may be silent about itself before it
+	// AnnouncementLimit is how long a backend server may be silent about itself before it
 	// gets no new flows.
-	BeatLimit time.Duration
+	AnnouncementLimit time.Duration
 	// ColdFactor and ColdSlack bound the new flows of a cold backend server in a
 	// second: its rate times the factor, plus the slack.
 	ColdFactor float64
--- a/passthrough/gate_test.go
+++ b/passthrough/gate_test.go
@@ -13,7 +13,7 @@
 
 func gateConfig() passthrough.GateConfig {
 	return passthrough.GateConfig{
-		DataCentre: "north", BeatLimit: 4 * time.Second, ColdFactor: 1.5, ColdSlack: 5, MaxFlowAge: time.Minute,
+		DataCentre: "north", AnnouncementLimit: 4 * time.Second, ColdFactor: 1.5, ColdSlack: 5, MaxFlowAge: time.Minute,
 	}
 }
 
@@ -34,7 +34,7 @@
 func newBench(t *testing.T) *bench {
 	b := &bench{
 		t: t, g: gomega.NewWithT(t), gate: passthrough.NewGate(start, gateConfig()),
-		registration: passthrough.NewRegistration(gateConfig().BeatLimit), now: start,
+		registration: passthrough.NewRegistration(gateConfig().AnnouncementLimit), now: start,
 	}
 	b.gate.SetTable(start, table(1))
 	b.announce(announcement(1))
--- a/passthrough/target.go
+++ b/passthrough/target.go
@@ -49,7 +49,7 @@
 }
 
 // NewRegistration returns a Registration that knows of none. limit is as
-// GateConfig.BeatLimit.
+// GateConfig.AnnouncementLimit.
 func NewRegistration(limit time.Duration) *Registration {
 	return &Registration{limit: limit}
 }
@@ -148,7 +148,7 @@
 		return ReasonDraining
 	case g.table.DataCentreOut(g.config.DataCentre):
 		return ReasonOut
-	case now.Sub(g.target.Heard) > g.config.BeatLimit:
+	case now.Sub(g.target.Heard) > g.config.AnnouncementLimit:
 		return ReasonStale
 	default:
 		return ReasonNone
--- a/roles/companion/companion.go
+++ b/roles/companion/companion.go
@@ -133,7 +133,7 @@
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Post:   func(ctx context.Context, u feed.Update) error { return c.loop.Send(ctx, updated(u)) },
 	})
-	go c.loop.Run(serving, &control{companion: c, registration: passthrough.NewRegistration(c.config.Gate.BeatLimit)})
+	go c.loop.Run(serving, &control{companion: c, registration: passthrough.NewRegistration(c.config.Gate.AnnouncementLimit)})
 	trafficDone := make(chan struct{})
 	go func() {
 		defer close(trafficDone)
--- /dev/null
+++ b/roles/systemtest/system_test.go
@@ -0,0 +1,314 @@
+package systemtest
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/durable"
+	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/platform"
+	"zinniapulley.dev/roles/companion"
+	"zinniapulley.dev/roles/control"
+	"zinniapulley.dev/roles/entry"
+	"zinniapulley.dev/route"
+)
+
+// Ports of the test's deployment, and the time within which it must settle.
+const (
+	callerPort   = 28172
+	internalPort = 27720
+	outboundPort = 28162
+	serverPort   = 28165
+	settleTime   = 30 * time.Second
+)
+
+var feedAddress = netip.MustParseAddrPort("198.18.0.1:443")
+
+// at returns an address on loopback: group is the kind of instance.
+func at(group, number byte, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, group, number}), port)
+}
+
+const (
+	groupControl byte = 31 + iota
+	groupEntry
+	groupCompanion
+	groupCaller
+)
+
+// system is a deployment of three control instances, two entry instances and
+// backend servers in two data centres.
+type system struct {
+	t          *testing.T
+	g          *gomega.WithT
+	seeds      []netip.AddrPort
+	folders    []string
+	controls   []*process[*control.Server]
+	entries    []*process[*entry.Entry]
+	companions []*process[*companion.Companion]
+	servers    []*server
+	caller     *caller
+	number     uint64
+}
+
+// runner is a role.
+type runner interface {
+	Run(context.Context) error
+}
+
+// process is a role that runs.
+type process[R runner] struct {
+	role R
+	stop func()
+}
+
+func run[R runner](t *testing.T, role R, err error) *process[R] {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = role.Run(ctx)
+	}()
+	p := &process[R]{role: role, stop: func() { cancel(); <-done }}
+	t.Cleanup(p.stop)
+	return p
+}
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// start brings a deployment up with as many backend servers, in the data centres
+// north and south by turns.
+func start(t *testing.T, servers int) *system {
+	t.Helper()
+	s := &system{t: t, g: gomega.NewWithT(t), caller: startCaller(t, at(groupCaller, 1, callerPort))}
+	for i := range byte(3) {
+		s.seeds = append(s.seeds, at(groupControl, i+1, internalPort))
+		s.folders = append(s.folders, t.TempDir())
+	}
+	for i := range s.seeds {
+		s.controls = append(s.controls, s.startControl(i, true))
+	}
+	for i := range byte(2) {
+		s.entries = append(s.entries, s.startEntry(i))
+	}
+	for i := range byte(servers) {
+		s.servers = append(s.servers, startServer(t, dataCentre(i)+string('0'+i), at(groupCompanion, i+1, serverPort), at(groupCompanion, i+1, outboundPort)))
+		s.companions = append(s.companions, s.startCompanion(i))
+	}
+	s.order(func() error {
+		_, err := s.controls[0].role.Configure(context.Background(), feedConfiguration(1))
+		return err
+	})
+	s.announceAll(nil)
+	s.g.Eventually(func() int { return s.reachable() }, settleTime, 50*time.Millisecond).Should(gomega.Equal(servers))
+	return s
+}
+
+func dataCentre(server byte) string {
+	return []string{"north", "south"}[server%2]
+}
+
+func feedConfiguration(version uint64) route.Configuration {
+	return route.Configuration{
+		Version: version, Source: []byte("the document"), IdleTimeout: 15 * time.Second,
+		Routes: []route.Route{{
+			Name: "feed", Address: feedAddress, Timeout: time.Second, Objective: 500 * time.Millisecond,
+			Shares: []route.Share{{Service: "feed", Weight: 1}},
+		}},
+		Services: []route.Service{{Name: "feed", MaxConnections: 1000}},
+	}
+}
+
+func (s *system) startControl(i int, first bool) *process[*control.Server] {
+	server, err := control.New(control.Config{
+		Instance: core.InstanceID(s.seeds[i].String()), RPC: s.seeds[i], Seeds: s.seeds, First: first, Folder: s.folders[i],
+		Files: durable.Disk{}, Log: quiet, Metrics: metrics.NewRegistry(),
+	})
+	return run(s.t, server, err)
+}
+
+func (s *system) startEntry(i byte) *process[*entry.Entry] {
+	built, err := entry.New(entry.Config{
+		Instance: core.InstanceID("entry" + string('1'+i)), DataCentre: "north", Packets: entryAt(i), Peers: at(groupEntry, i+1, internalPort),
+		Seeds: s.seeds, Codec: platform.Datagrams{CallerPort: callerPort}, Log: quiet, Metrics: metrics.NewRegistry(),
+	})
+	return run(s.t, built, err)
+}
+
+func entryAt(i byte) netip.AddrPort { return at(groupEntry, i+1, callerPort) }
+
+func (s *system) startCompanion(i byte) *process[*companion.Companion] {
+	built, err := companion.New(companion.Config{
+		Instance: core.InstanceID("companion" + string('1'+i)), DataCentre: core.DataCentre(dataCentre(i)),
+		Packets: at(groupCompanion, i+1, callerPort), Outbound: at(groupCompanion, i+1, outboundPort), Server: at(groupCompanion, i+1, serverPort),
+		Seeds: s.seeds, Codec: platform.Datagrams{CallerPort: callerPort}, Log: quiet, Metrics: metrics.NewRegistry(),
+		Gate: passthrough.GateConfig{DataCentre: core.DataCentre(dataCentre(i)), AnnouncementLimit: time.Hour, ColdFactor: 1.5, ColdSlack: 5, MaxFlowAge: time.Minute},
+	})
+	return run(s.t, built, err)
+}
+
+// announceAll has all backend servers speak; those in draining say that they leave.
+func (s *system) announceAll(draining map[int]bool) {
+	s.number++
+	for i, c := range s.companions {
+		err := c.role.Announce(context.Background(), passthrough.Announcement{
+			Server: s.servers[i].name, Service: "feed", DataCentre: core.DataCentre(dataCentre(byte(i))),
+			Born: 1, Number: s.number, Slots: 100, Draining: draining[i],
+		})
+		s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+}
+
+// order repeats an operator's order until it is accepted.
+func (s *system) order(order func() error) {
+	s.t.Helper()
+	s.g.Eventually(order, settleTime, 50*time.Millisecond).Should(gomega.Succeed())
+}
+
+// reachable opens flows and counts the backend servers that answer.
+func (s *system) reachable() int {
+	seen := map[string]bool{}
+	for range 40 {
+		f, err := s.caller.open(feedAddress, entryAt(0))
+		if err != nil {
+			return 0
+		}
+		name, err := f.ask()
+		if err == nil {
+			seen[name] = true
+		}
+	}
+	return len(seen)
+}
+
+// openAll opens flows until each backend server has one, and returns them by name.
+func (s *system) openAll() map[string]*flow {
+	s.t.Helper()
+	flows := map[string]*flow{}
+	s.g.Eventually(func() int {
+		f, err := s.caller.open(feedAddress, entryAt(0), entryAt(1))
+		if err == nil {
+			name, err := f.ask()
+			if err == nil {
+				flows[name] = f
+			}
+		}
+		return len(flows)
+	}, settleTime, time.Millisecond).Should(gomega.Equal(len(s.servers)))
+	return flows
+}
+
+// expectAlive checks that each flow is still answered by its own backend server.
+func (s *system) expectAlive(flows map[string]*flow) {
+	s.t.Helper()
+	for name, f := range flows {
+		for range 3 {
+			answered, err := f.ask()
+			s.g.Expect(err).NotTo(gomega.HaveOccurred(), name)
+			s.g.Expect(answered).To(gomega.Equal(name))
+		}
+	}
+}
+
+func TestFlowsLiveThroughPlannedChange(t *testing.T) {
+	s := start(t, 4)
+	flows := s.openAll()
+
+	// Packets of a flow may reach any entry instance.
+	s.expectAlive(flows)
+
+	// One backend server drains.
+	s.announceAll(map[int]bool{0: true})
+	s.expectAlive(flows)
+	opened := s.servers[0].opened.Load()
+	s.g.Expect(s.reachable()).To(gomega.Equal(3))
+	s.g.Expect(s.servers[0].opened.Load()).To(gomega.Equal(opened), "a draining backend server gets no new flow")
+
+	// A data centre is taken out.
+	s.order(func() error {
+		_, err := s.controls[1].role.SetDataCentre(context.Background(), route.SetDataCentre{Name: "south", Out: true})
+		return err
+	})
+	s.g.Eventually(s.reachable, settleTime, 50*time.Millisecond).Should(gomega.Equal(1))
+	s.expectAlive(flows)
+
+	// An entry instance and a companion are started again.
+	s.entries[1].stop()
+	s.entries[1] = s.startEntry(1)
+	s.companions[2].stop()
+	s.companions[2] = s.startCompanion(2)
+	s.announceAll(map[int]bool{0: true})
+	s.expectAlive(flows)
+}
+
+func TestFlowRefusedByOneIsTakenByAnother(t *testing.T) {
+	s := start(t, 2)
+	s.servers[0].refuses.Store(true)
+	for range 20 {
+		f, err := s.caller.open(feedAddress, entryAt(0))
+		s.g.Expect(err).NotTo(gomega.HaveOccurred())
+		name, err := f.ask()
+		s.g.Expect(err).NotTo(gomega.HaveOccurred())
+		s.g.Expect(name).To(gomega.Equal(s.servers[1].name))
+	}
+	s.servers[1].refuses.Store(true)
+	_, err := s.caller.open(feedAddress, entryAt(0))
+	s.g.Expect(err).To(gomega.Equal(errReset), "no backend server takes it")
+}
+
+func TestUnknownRouteIsRefusedAtOnce(t *testing.T) {
+	s := start(t, 1)
+	_, err := s.caller.open(netip.MustParseAddrPort("198.18.0.9:443"), entryAt(0))
+	s.g.Expect(err).To(gomega.Equal(errReset))
+}
+
+// All control instances are started again: what was accepted is still there, and
+// flows open meanwhile.
+func TestConfigurationOutlivesControl(t *testing.T) {
+	s := start(t, 2)
+	for _, c := range s.controls {
+		c.stop()
+	}
+	_, err := s.caller.open(feedAddress, entryAt(0))
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	for i := range s.controls {
+		s.controls[i] = s.startControl(i, false)
+	}
+	for _, c := range s.controls {
+		s.order(func() error { _, err := c.role.Newest(context.Background()); return err })
+		source, err := c.role.Newest(context.Background())
+		s.g.Expect(err).NotTo(gomega.HaveOccurred())
+		s.g.Expect(string(source)).To(gomega.Equal("the document"))
+	}
+}
+
+// A control instance that has lost its disk joins anew, and another one may be lost
+// right after.
+func TestLostDiskIsMadeUpFor(t *testing.T) {
+	s := start(t, 1)
+	s.controls[0].stop()
+	s.folders[0] = t.TempDir()
+	s.controls[0] = s.startControl(0, false)
+	s.order(func() error { _, err := s.controls[0].role.Newest(context.Background()); return err })
+	s.order(func() error {
+		_, err := s.controls[0].role.Configure(context.Background(), feedConfiguration(2))
+		return err
+	})
+	// The wiped one must count as a voter again before the next loss.
+	s.g.Eventually(func() bool {
+		s.controls[1].stop()
+		defer func() { s.controls[1] = s.startControl(1, false) }()
+		_, err := s.controls[2].role.Configure(context.Background(), feedConfiguration(3))
+		return err == nil
+	}, settleTime, time.Second).Should(gomega.BeTrue())
+}
--- /dev/null
+++ b/route/state_test.go
@@ -0,0 +1,78 @@
+package route_test
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/route"
+)
+
+func configuration(version uint64, services ...core.ServiceName) route.Configuration {
+	r := route.Route{Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:443"), Timeout: 1}
+	for _, service := range services {
+		r.Shares = append(r.Shares, route.Share{Service: service, Weight: 1})
+	}
+	return route.Configuration{Version: version, Routes: []route.Route{r}, Source: []byte{byte(version), byte(len(services))}}
+}
+
+func configure(c route.Configuration) route.Command { return route.Command{Configure: &c} }
+
+// Commands in any order, repeated or with other content under a version that is
+// held: the first content of the highest version is in force.
+func TestHighestVersionIsInForce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var state route.State
+		var highest uint64
+		var held []byte
+		for _, version := range rapid.SliceOfN(rapid.Uint64Range(1, 9), 1, 30).Draw(t, "versions") {
+			c := configuration(version)
+			c.Source = append(c.Source, rapid.Byte().Draw(t, "content"))
+			before := state.Revision
+			result := state.Apply(configure(c))
+			if version > highest {
+				highest, held = version, c.Source
+			} else if result.Changed || state.Revision != before {
+				t.Fatalf("version %d changed the state at version %d", version, highest)
+			}
+			if state.Configuration.Version != highest || !slices.Equal(state.Configuration.Source, held) {
+				t.Fatalf("version %d is in force, not %d", state.Configuration.Version, highest)
+			}
+		}
+	})
+}
+
+// Flows may live on with services that a route no longer names, but never with
+// one that it didn't name.
+func TestFormerServices(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var state route.State
+	state.Apply(configure(configuration(1, "a")))
+	state.Apply(configure(configuration(2, "b")))
+	state.Apply(configure(configuration(3, "c", "b")))
+	r := &state.Configuration.Routes[0]
+	g.Expect(r.Allows("a")).To(gomega.BeFalse())
+	for service, may := range map[core.ServiceName]bool{"a": true, "b": true, "c": true, "d": false} {
+		g.Expect(r.MayHold(service)).To(gomega.Equal(may), string(service))
+	}
+	state.Apply(configure(configuration(4, "a")))
+	g.Expect(state.Configuration.Routes[0].Former).To(gomega.ConsistOf(core.ServiceName("b"), core.ServiceName("c")))
+}
+
+func TestDataCentres(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var state route.State
+	set := func(name core.DataCentre, out bool) bool {
+		return state.Apply(route.Command{DataCentre: &route.SetDataCentre{Name: name, Out: out}}).Changed
+	}
+	g.Expect(set("b", true)).To(gomega.BeTrue())
+	g.Expect(set("b", true)).To(gomega.BeFalse())
+	earlier := state.View()
+	g.Expect(set("a", true)).To(gomega.BeTrue())
+	g.Expect(set("b", false)).To(gomega.BeTrue())
+	g.Expect(state.Out).To(gomega.Equal([]core.DataCentre{"a"}))
+	g.Expect(earlier.Out).To(gomega.Equal([]core.DataCentre{"b"}), "a view doesn't change")
+}
