Seek a flow by questions, first where it was opened, and never take silence for an answer

Change: a flow opens at one of the first four companions of its rendezvous order and is sought there first, by a small question; the rest are asked only when those don't have it; only answers count; control keeps an entry instance for 15 s. Ruled out: the load of control (0.03 cores at most).

--- a/passthrough/choice.go
+++ b/passthrough/choice.go
@@ -1,7 +1,9 @@
 package passthrough
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,8 +25,10 @@
 	coldPenalty = 0.5
 	// unheardPenalty holds back backend servers whose status is old.
 	unheardPenalty = 100.0
-	// samples is how many candidates are drawn for one choice.
-	samples = 3
+	// choices is how many candidates, first in the flow's order, share its opening
+	// by load. A flow that no entry instance has cached is sought among the first
+	// ones of the same order.
+	choices = 4
 )
 
 // choose returns the companion that an opening packet goes to next, nil if there
@@ -33,10 +37,10 @@
 // takes the flow.
 func (d *Dispatcher) choose(now time.Time, key core.FlowKey, flow *cached, found *route.Route) *companion {
 	first := serviceFor(key, found.Shares)
-	best := d.best(now, flow, found.Shares[first].Service)
+	best := d.best(now, key, flow, found.Shares[first].Service)
 	for i := 0; best == nil && i < len(found.Shares); i++ {
 		if i != first && found.Shares[i].Weight > 0 {
-			best = d.best(now, flow, found.Shares[i].Service)
+			best = d.best(now, key, flow, found.Shares[i].Service)
 		}
 	}
 	return best
@@ -68,52 +72,45 @@
 	return xxhash.Sum64(buffer[:])
 }
 
-// best draws a few of the service's companions that may take the flow and returns
-// the least loaded of them. Drawing keeps entry instances with the same figures
-// from all choosing the same one.
-func (d *Dispatcher) best(now time.Time, flow *cached, service core.ServiceName) *companion {
+// best returns the least loaded of the first companions, in the flow's order, that
+// may take it.
+func (d *Dispatcher) best(now time.Time, key core.FlowKey, flow *cached, service core.ServiceName) *companion {
+	d.ranked = d.ranked[:0]
+	for _, c := range d.byService[service] {
+		if d.mayTake(c, flow) {
+			d.ranked = append(d.ranked, c)
+		}
+	}
+	rank(d.ranked, key)
 	var best *companion
 	var bestLoad float64
-	drawn := 0
-	all := d.byService[service]
-	if len(all) == 0 {
-		return nil
-	}
-	start := d.random.IntN(len(all))
-	step := stepFor(len(all), d.random.IntN(len(all)))
-	for i := range all {
-		c := all[(start+i*step)%len(all)]
-		if !d.mayTake(c, flow) {
-			continue
-		}
+	for i, c := range d.ranked {
 		load := d.load(now, c)
 		if best == nil || load < bestLoad {
 			best, bestLoad = c, load
 		}
-		if load < unheardPenalty {
-			drawn++
-		}
-		if drawn >= samples {
+		if i+1 >= choices && bestLoad < unheardPenalty {
 			break
 		}
 	}
 	return best
 }
 
-// stepFor returns a step that visits all of n places, from a random number.
-func stepFor(n, random int) int {
-	step := random%n + 1
-	for gcd(step, n) != 1 {
-		step = step%n + 1
-	}
-	return step
+// rank orders companions by rendezvous hashing of the flow: the same order at all
+// entry instances, and of the others when one is added or removed.
+func rank(companions []*companion, key core.FlowKey) {
+	seed := hashOf(key)
+	slices.SortFunc(companions, func(a, b *companion) int { return cmp.Compare(b.weight(seed), a.weight(seed)) })
 }
 
-func gcd(a, b int) int {
-	for b != 0 {
-		a, b = b, a%b
-	}
-	return a
+// weight is the companion's place in the order of flows of the seed.
+func (c *companion) weight(seed uint64) uint64 {
+	mixed := seed ^ c.hash
+	mixed ^= mixed >> 33
+	mixed *= 0xff51afd7ed558ccd
+	mixed ^= mixed >> 33
+	mixed *= 0xc4ceb9fe1a85ec53
+	return mixed ^ mixed>>33
 }
 
 // mayTake reports whether the companion may take a new flow that wasn't tried
--- a/passthrough/dispatcher.go
+++ b/passthrough/dispatcher.go
@@ -1,11 +1,10 @@
 package passthrough
 
 import (
-	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/route"
 )
@@ -28,18 +27,8 @@
 	// which they learn of it. An opening packet that finds none is dropped then, so
 	// that the caller's copy of it is tried.
 	startGrace = 1500 * time.Millisecond
-	// absentAfter is how long a companion must be silent before it counts as having
-	// no flows: longer than a machine may be cut off and still be thought sound.
-	absentAfter = 6 * time.Second
-	// completeAfter is how long after its start an entry instance has heard of
-	// every companion that runs: three intervals between their statuses.
-	completeAfter = time.Second
-	// seekSpan is how long the answers to a sought packet count.
-	seekSpan = time.Second
 	// maxAsked is the most companions that one opening packet is tried at.
 	maxAsked = 6
-	// maxSeeks is the most packets that may be sought in one second.
-	maxSeeks = 2000
 )
 
 // DispatchKind says what an entry instance does with a packet.
@@ -48,9 +37,11 @@
 const (
 	// DispatchForward sends the packet to one companion.
 	DispatchForward DispatchKind = iota + 1
-	// DispatchSeek sends a copy of the packet to a companion that may hold the
-	// flow.
+	// DispatchSeek sends a copy of the packet to a companion whose backend server
+	// may hold the flow.
 	DispatchSeek
+	// DispatchQuestion asks a companion whether the flow lives there.
+	DispatchQuestion
 	// DispatchReset answers the caller with a reset.
 	DispatchReset
 	// DispatchDrop discards the packet.
@@ -74,6 +65,8 @@
 type companion struct {
 	status Status
 	heard  time.Time
+	// hash is that of the companion's address.
+	hash uint64
 	// assigned counts the flows sent there since the last status.
 	assigned int
 }
@@ -92,11 +85,8 @@
 	owner netip.AddrPort
 	asked []ask
 	seen  time.Time
-	// absent lists the companions that have answered, since soughtAt, that the
-	// flow doesn't live there. ack is the caller's last acknowledgement.
-	absent   []netip.AddrPort
-	soughtAt time.Time
-	ack      uint32
+	// search is set while the flow is sought.
+	search *search
 	// closing is set once the caller has closed its side.
 	closing bool
 }
@@ -104,22 +94,23 @@
 // Dispatcher decides for one entry instance. It belongs to one goroutine.
 type Dispatcher struct {
 	dataCentre core.DataCentre
-	random     *rand.Rand
 	table      *route.Table
 	companions map[netip.AddrPort]*companion
 	byService  map[core.ServiceName][]*companion
 	flows      map[core.FlowKey]*cached
 	started    time.Time
 	swept      time.Time
-	seeks      int
-	out        []Dispatch
+	questions  int
+	// keeping counts the packets kept while their flows are sought.
+	keeping int
+	ranked  []*companion
+	out     []Dispatch
 }
 
-// NewDispatcher returns a Dispatcher without a view. random spreads choices.
-func NewDispatcher(now time.Time, dataCentre core.DataCentre, random *rand.Rand) *Dispatcher {
+// NewDispatcher returns a Dispatcher without a view.
+func NewDispatcher(now time.Time, dataCentre core.DataCentre) *Dispatcher {
 	return &Dispatcher{
 		dataCentre: dataCentre,
-		random:     random,
 		started:    now,
 		companions: make(map[netip.AddrPort]*companion),
 		byService:  make(map[core.ServiceName][]*companion),
@@ -254,6 +245,10 @@
 		d.forward(now, p, flow.owner, ReasonCached)
 		return
 	}
+	if flow.search != nil {
+		d.seek(now, p, flow, netip.AddrPort{})
+		return
+	}
 	sent := false
 	for _, a := range flow.asked {
 		if !a.refused {
@@ -266,56 +261,6 @@
 	}
 }
 
-// seek sends a packet to every companion that may hold its flow, but one that has
-// answered already.
-func (d *Dispatcher) seek(now time.Time, p *Packet, flow *cached, but netip.AddrPort) {
-	if d.seeks >= maxSeeks {
-		d.drop(p, ReasonSeekLimit)
-		return
-	}
-	d.seeks++
-	if now.Sub(flow.soughtAt) > seekSpan {
-		flow.soughtAt, flow.absent = now, flow.absent[:0]
-	}
-	flow.ack = p.Ack
-	var found *route.Route
-	if d.table != nil {
-		found = d.table.Route(p.Key.Service)
-	}
-	for address, c := range d.companions {
-		if address != but && (found == nil || found.MayHold(c.status.Service)) {
-			d.out = append(d.out, Dispatch{Kind: DispatchSeek, Reason: ReasonUnknownFlow, To: address, Packet: p})
-		}
-	}
-	if len(d.out) == 0 {
-		d.drop(p, ReasonUnknownFlow)
-	}
-}
-
-// absent notes that a flow surely doesn't live at a companion, and resets it once
-// it lives at none. A caller that closes is left alone: its flow may have ended in
-// good order.
-func (d *Dispatcher) absent(now time.Time, key core.FlowKey, flow *cached, at netip.AddrPort) {
-	if !slices.Contains(flow.absent, at) {
-		flow.absent = append(flow.absent, at)
-	}
-	if flow.closing || flow.owner.IsValid() || d.table == nil || now.Sub(d.started) < completeAfter {
-		return
-	}
-	found := d.table.Route(key.Service)
-	if found == nil {
-		return
-	}
-	for address, c := range d.companions {
-		silent := now.Sub(c.heard) > absentAfter
-		if found.MayHold(c.status.Service) && !c.status.Departed && !silent && !slices.Contains(flow.absent, address) {
-			return
-		}
-	}
-	delete(d.flows, key)
-	d.out = append(d.out, Dispatch{Kind: DispatchReset, Reason: ReasonFlowLost, Packet: &Packet{Key: key}, ResetSeq: flow.ack})
-}
-
 func (d *Dispatcher) forward(now time.Time, p *Packet, to netip.AddrPort, reason Reason) {
 	dispatch := Dispatch{Kind: DispatchForward, Reason: reason, To: to, Packet: p}
 	if c, known := d.companions[to]; known {
@@ -385,7 +330,6 @@
 	}
 	if !waiting && !flow.owner.IsValid() {
 		d.seek(now, p, flow, from)
-		d.absent(now, p.Key, flow, from)
 	}
 	return d.out
 }
@@ -409,10 +353,13 @@
 	case NoteOpened:
 		flow.owner = from
 		flow.asked = nil
+		d.found(now, flow)
 	case NoteLost:
 		flow.closing = true
 	case NoteAbsent:
 		d.absent(now, note.Key, flow, from)
+	case NoteUnsure:
+		d.unsure(flow, from)
 	}
 	return d.out
 }
@@ -421,7 +368,7 @@
 func (d *Dispatcher) Status(now time.Time, status Status) {
 	c, known := d.companions[status.Companion]
 	if !known {
-		c = &companion{}
+		c = &companion{hash: xxhash.Sum64String(status.Companion.String())}
 		d.companions[status.Companion] = c
 	}
 	moved := !known || c.status.Service != status.Service
@@ -447,10 +394,11 @@
 		return
 	}
 	d.swept = now
-	d.seeks = 0
+	d.questions = 0
 	for key, flow := range d.flows {
 		idle := now.Sub(flow.seen)
 		if idle > cacheIdle || (flow.closing && idle > closedIdle) {
+			d.endSearch(flow)
 			delete(d.flows, key)
 		}
 	}
--- a/passthrough/dispatcher_test.go
+++ b/passthrough/dispatcher_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -55,7 +54,7 @@
 
 // dispatcher returns a Dispatcher that has long run and knows the companions.
 func dispatcher(companions int) *passthrough.Dispatcher {
-	d := passthrough.NewDispatcher(start.Add(-time.Hour), "north", rand.New(rand.NewPCG(1, 2)))
+	d := passthrough.NewDispatcher(start.Add(-time.Hour), "north")
 	d.SetTable(table(1))
 	for i := 1; i <= companions; i++ {
 		d.Status(start, statusOf(i))
@@ -147,10 +146,58 @@
 	former.Service, never.Service = "old", "other"
 	d.Status(start, former)
 	d.Status(start, never)
-	sought := targets(d.Handle(start, data(1, 5001)), passthrough.DispatchSeek)
+	sought := targets(d.Handle(start, data(1, 5001)), passthrough.DispatchQuestion)
 	g.Expect(sought).To(gomega.ConsistOf(companionAt(1), companionAt(2), companionAt(3)))
 }
 
+// Where there are many companions, questions to all of them for every flow filled
+// the link of an entry instance that had just been added.
+func TestSearchWidensOnlyWhenItMust(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(40)
+	asked := targets(d.Handle(start, data(1, 5001)), passthrough.DispatchQuestion)
+	g.Expect(len(asked)).To(gomega.BeNumerically("<=", 6))
+	var wide []netip.AddrPort
+	for _, at := range asked {
+		wide = targets(d.Note(start, at, passthrough.Note{Kind: passthrough.NoteAbsent, Key: flowKey(1)}), passthrough.DispatchQuestion)
+	}
+	g.Expect(wide).To(gomega.HaveLen(40 - len(asked)))
+	actions := d.Note(start, wide[7], passthrough.Note{Kind: passthrough.NoteOpened, Key: flowKey(1)})
+	g.Expect(targets(actions, passthrough.DispatchForward)).To(gomega.Equal(wide[7:8]))
+	g.Expect(actions[0].Packet.Length).To(gomega.Equal(10), "the packet that was kept")
+}
+
+// Among many companions a flow opens at one of the first ones that a search asks.
+func TestFlowOpensWhereItIsSoughtFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(40)
+	for port := range 100 {
+		opened := targets(d.Handle(start, syn(port)), passthrough.DispatchForward)
+		other := dispatcher(40)
+		g.Expect(targets(other.Handle(start, data(port, 5001)), passthrough.DispatchQuestion)).To(gomega.ContainElement(opened[0]))
+	}
+}
+
+// A companion that is silent may hold the flow: an entry instance that a companion
+// doesn't know of hears nothing from it.
+func TestSilentCompanionIsNoProofThatAFlowIsLost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(2)
+	later := start.Add(20 * time.Second)
+	d.Status(later, statusOf(1))
+	d.Handle(later, data(1, 5001))
+	g.Expect(d.Note(later, companionAt(1), passthrough.Note{Kind: passthrough.NoteAbsent, Key: flowKey(1)})).To(gomega.BeEmpty())
+}
+
+// A companion that can't tell gets the packet itself.
+func TestUnsureCompanionGetsThePacket(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(2)
+	d.Handle(start, data(1, 5001))
+	actions := d.Note(start, companionAt(1), passthrough.Note{Kind: passthrough.NoteUnsure, Key: flowKey(1)})
+	g.Expect(targets(actions, passthrough.DispatchSeek)).To(gomega.Equal([]netip.AddrPort{companionAt(1)}))
+}
+
 func TestFlowIsResetOnlyOnceItLivesNowhere(t *testing.T) {
 	absent := passthrough.Note{Kind: passthrough.NoteAbsent, Key: flowKey(1)}
 	t.Run("all have answered", func(t *testing.T) {
@@ -191,7 +238,7 @@
 	})
 	t.Run("the entry instance may not know all companions", func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		d := passthrough.NewDispatcher(start, "north", rand.New(rand.NewPCG(1, 2)))
+		d := passthrough.NewDispatcher(start, "north")
 		d.SetTable(table(1))
 		d.Status(start, statusOf(1))
 		d.Handle(start, data(1, 5001))
@@ -203,7 +250,7 @@
 // companions had spoken, and the callers ran out of tries.
 func TestStartingEntryInstanceLeavesCallersToRepeat(t *testing.T) {
 	g := gomega.NewWithT(t)
-	d := passthrough.NewDispatcher(start, "north", rand.New(rand.NewPCG(1, 2)))
+	d := passthrough.NewDispatcher(start, "north")
 	d.SetTable(table(1))
 	actions := d.Handle(start.Add(300*time.Millisecond), syn(1))
 	g.Expect(actions).To(gomega.HaveLen(1))
--- a/passthrough/gate.go
+++ b/passthrough/gate.go
@@ -192,6 +192,22 @@
 	return g.out
 }
 
+// Question answers an entry instance that looks for a flow. The result is valid
+// until the next call.
+func (g *Gate) Question(now time.Time, entry netip.AddrPort, key core.FlowKey) []GateAction {
+	g.out = g.out[:0]
+	flow, known := g.flows[key]
+	switch {
+	case known && (flow.stage == stageOpen || flow.stage == stageClosed):
+		g.note(NoteOpened, ReasonOpened, key, entry)
+	case !known && (g.knowsAll(now) || !g.mayHold(key)):
+		g.note(NoteAbsent, ReasonNotHere, key, entry)
+	default:
+		g.note(NoteUnsure, ReasonUnknownFlow, key, entry)
+	}
+	return g.out
+}
+
 // opening decides about a packet that asks for a new flow, or a copy of one.
 func (g *Gate) opening(now time.Time, entry netip.AddrPort, version uint64, p *Packet, flow *gateFlow) {
 	if flow != nil {
--- a/passthrough/model_test.go
+++ b/passthrough/model_test.go
@@ -75,7 +75,7 @@
 }
 
 func (w *world) startEntry(i int) {
-	w.entries[i] = passthrough.NewDispatcher(w.now, "north", w.random)
+	w.entries[i] = passthrough.NewDispatcher(w.now, "north")
 	w.entries[i].SetTable(w.table())
 }
 
@@ -151,6 +151,11 @@
 				i := int(a.To.Addr().As4()[3])
 				w.gate(entry, i, w.companions[i].gate.FromEntry(w.now, entryName(entry), a.Kind == passthrough.DispatchSeek, uint64(w.revision), a.Packet), depth)
 			}
+		case passthrough.DispatchQuestion:
+			if !w.lost() {
+				i := int(a.To.Addr().As4()[3])
+				w.gate(entry, i, w.companions[i].gate.Question(w.now, entryName(entry), a.Packet.Key), depth+1)
+			}
 		case passthrough.DispatchReset:
 			w.reset(a.Packet.Key, a.ResetSeq)
 		}
--- a/passthrough/packet.go
+++ b/passthrough/packet.go
@@ -123,6 +123,9 @@
 	NoteLost
 	// NoteAbsent says that the flow surely doesn't live at the companion.
 	NoteAbsent
+	// NoteUnsure says that the flow's packet itself must show whether the flow
+	// lives at the companion.
+	NoteUnsure
 )
 
 // Note is what a companion tells an entry instance about one flow.
--- a/roles/companion/owner.go
+++ b/roles/companion/owner.go
@@ -92,6 +92,13 @@
 }
 
 func (o *owner) fromEntry(now time.Time, d traffic.Datagram) error {
+	if hop.KindOf(d.Data) == hop.KindQuestion {
+		key, err := hop.DecodeQuestion(d.Data)
+		if err == nil {
+			o.carryOut(now, o.gate.Question(now, d.From, key))
+		}
+		return err
+	}
 	envelope, err := hop.DecodeEnvelope(d.Data)
 	if err != nil {
 		return err
--- a/roles/control/control.go
+++ b/roles/control/control.go
@@ -31,8 +31,9 @@
 	// handOverTime is how long a stop waits for another instance to lead.
 	handOverTime = 400 * time.Millisecond
 	// entryLimit is how long an entry instance may be silent before companions
-	// are no longer told of it.
-	entryLimit = 5 * time.Second
+	// are no longer told of it. It outlives the restart of the instance and of a
+	// control instance.
+	entryLimit = 15 * time.Second
 	// submitTimeout bounds how long an operator's order waits here. Operators turn
 	// to another instance after a second.
 	submitTimeout = 850 * time.Millisecond
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -38,7 +37,7 @@
 func newOwner(e *Entry) *owner {
 	o := &owner{
 		entry:      e,
-		dispatcher: passthrough.NewDispatcher(time.Now(), e.config.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		dispatcher: passthrough.NewDispatcher(time.Now(), e.config.DataCentre),
 		log:        e.lines.Logger(),
 		routed:     asynclog.Limit{PerSecond: routedLines},
 		failed:     asynclog.Limit{PerSecond: failedLines},
@@ -137,6 +136,8 @@
 			o.send(hop.KindForward, a)
 		case passthrough.DispatchSeek:
 			o.send(hop.KindSeek, a)
+		case passthrough.DispatchQuestion:
+			o.question(a)
 		case passthrough.DispatchReset:
 			o.reset(a)
 		case passthrough.DispatchDrop:
@@ -154,6 +155,16 @@
 	}
 }
 
+func (o *owner) question(a *passthrough.Dispatch) {
+	datagram, err := hop.EncodeQuestion(a.Packet.Key)
+	if err == nil {
+		_, err = o.entry.peers.WriteToUDPAddrPort(datagram, a.To)
+	}
+	if err != nil {
+		o.sendErrors.Inc(1)
+	}
+}
+
 func (o *owner) reset(a *passthrough.Dispatch) {
 	codec := o.entry.config.Codec
 	_, err := o.entry.callers.WriteToUDPAddrPort(codec.Reset(a.Packet.Key, a.ResetSeq), codec.Caller(a.Packet.Key))
--- a/wire/hop/hop.go
+++ b/wire/hop/hop.go
@@ -32,6 +32,8 @@
 	KindStatus
 	// KindHello is a Hello.
 	KindHello
+	// KindQuestion asks whether a flow lives at a companion.
+	KindQuestion
 )
 
 const (
@@ -106,6 +108,17 @@
 	return passthrough.Note{Kind: n.Kind, Key: key, Running: n.Running, Flows: n.Flows}, err
 }
 
+// EncodeQuestion returns the datagram that asks whether a flow lives at a companion.
+func EncodeQuestion(key core.FlowKey) ([]byte, error) {
+	return encode(KindQuestion, note{Caller: key.Caller, Service: key.Service})
+}
+
+// DecodeQuestion returns the flow of a question.
+func DecodeQuestion(datagram []byte) (core.FlowKey, error) {
+	n, err := DecodeNote(datagram)
+	return n.Key, err
+}
+
 // status is the form of a passthrough.Status on the wire.
 type status struct {
 	Companion  netip.AddrPort   `cbor:"1,keyasint"`
