Send instances away from a control instance that lags, take up changed seeds, and ask less and sooner

Change: lag beyond 0.3 s counts as behind; a pause of the packet path starts the time of completeness anew; a denial is remembered; seeds are read when a control instance is sought. Dials give up after 120 ms, hellos go out when control is reached.

--- a/cmd/zinniapulley/platform.go
+++ b/cmd/zinniapulley/platform.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,6 +50,7 @@
 	settings *platform.Settings
 	log      *slog.Logger
 	metrics  metrics.Registry
+	known    atomic.Pointer[[]netip.AddrPort]
 }
 
 // load reads the settings file that the environment names.
@@ -61,6 +64,7 @@
 		debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
 	}
 	p.settings = settings
+	p.known.Store(&settings.Seeds)
 	p.log = slog.New(slog.NewTextHandler(os.Stdout, nil)).With("instance", settings.Instance)
 	p.metrics = metrics.NewRegistry()
 	return nil
@@ -102,8 +106,23 @@
 	return err
 }
 
-// reload notes changed settings. What a running process uses of them doesn't
-// change in its life; the next start takes them up.
+// seeds returns the control instances that the settings file names by now. The file
+// may change without a signal; while it can't be read, what it named before holds.
+func (p *platformProcess) seeds() []netip.AddrPort {
+	changed, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		p.log.Error("settings not usable, the seeds read before stay", "error", err)
+		return *p.known.Load()
+	}
+	before := p.known.Swap(&changed.Seeds)
+	if !slices.Equal(*before, changed.Seeds) {
+		p.log.Info("seeds changed", "before", *before, "seeds", changed.Seeds)
+	}
+	return changed.Seeds
+}
+
+// reload reads the settings again on a signal. Of a running process only the seeds
+// change; the rest is taken up by its next start.
 func (p *platformProcess) reload(ctx context.Context) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
@@ -113,12 +132,7 @@
 		case <-ctx.Done():
 			return
 		case <-signals:
-			changed, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
-			if err != nil {
-				p.log.Error("changed settings not usable, the present ones stay", "error", err)
-				continue
-			}
-			p.log.Info("settings read again", "seeds", changed.Seeds)
+			p.log.Info("settings read again", "seeds", p.seeds())
 		}
 	}
 }
@@ -141,7 +155,7 @@
 	}
 	s := c.settings
 	built, err := entry.New(entry.Config{
-		Instance: s.Instance, DataCentre: s.DataCentre, Packets: s.Listen.Packets, Peers: c.internal(), Seeds: s.Seeds,
+		Instance: s.Instance, DataCentre: s.DataCentre, Packets: s.Listen.Packets, Peers: c.internal(), Seeds: c.seeds,
 		Codec: platform.Datagrams{CallerPort: s.Listen.Packets.Port()}, Log: c.log, Metrics: c.metrics,
 	})
 	if err != nil {
@@ -165,7 +179,7 @@
 	}
 	built, err := companion.New(companion.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Packets: s.Listen.Packets, Outbound: s.Listen.Outbound,
-		Server: s.Server, Service: s.Service, Seeds: s.Seeds,
+		Server: s.Server, Service: s.Service, Seeds: c.seeds,
 		Gate: passthrough.GateConfig{
 			DataCentre: s.DataCentre, AnnouncementLimit: time.Duration(float64(s.AnnounceInterval) * announcementsMissed),
 			ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, MaxFlowAge: s.Bounds.MaxFlowAge,
@@ -191,7 +205,7 @@
 	}
 	s := c.settings
 	built, err := control.New(control.Config{
-		Instance: s.Instance, RPC: c.internal(), Seeds: s.Seeds, First: s.First, Folder: s.Folder,
+		Instance: s.Instance, RPC: c.internal(), Seeds: c.seeds, First: s.First, Folder: s.Folder,
 		Files: durable.Disk{}, Log: c.log, Metrics: c.metrics,
 	})
 	if err != nil {
--- a/passthrough/dispatcher.go
+++ b/passthrough/dispatcher.go
@@ -27,6 +27,9 @@
 	// which they learn of it. An opening packet that finds none is dropped then, so
 	// that the caller's copy of it is tried.
 	startGrace = 1500 * time.Millisecond
+	// pauseLimit is the time between two calls of Sweep, four of its intervals,
+	// beyond which the process was held up.
+	pauseLimit = time.Second
 	// maxAsked is the most companions that one opening packet is tried at.
 	maxAsked = 6
 )
@@ -98,9 +101,12 @@
 	companions map[netip.AddrPort]*companion
 	byService  map[core.ServiceName][]*companion
 	flows      map[core.FlowKey]*cached
-	started    time.Time
-	swept      time.Time
-	questions  int
+	// started is when this entry instance began to hear of companions: its start, or
+	// the end of a pause in which it heard nothing.
+	started   time.Time
+	ticked    time.Time
+	swept     time.Time
+	questions int
 	// keeping counts the packets kept while their flows are sought.
 	keeping int
 	ranked  []*companion
@@ -388,8 +394,13 @@
 	}
 }
 
-// Sweep forgets flows and companions that were not heard of for long.
+// Sweep forgets flows and companions that were not heard of for long. It is called
+// several times a second.
 func (d *Dispatcher) Sweep(now time.Time) {
+	if !d.ticked.IsZero() && now.Sub(d.ticked) > pauseLimit {
+		d.started = now
+	}
+	d.ticked = now
 	if now.Sub(d.swept) < sweepInterval {
 		return
 	}
--- a/passthrough/dispatcher_test.go
+++ b/passthrough/dispatcher_test.go
@@ -302,3 +302,15 @@
 		d.Handle(start, p)
 	}
 }
+
+// A process that was frozen may have missed a companion that holds the flow.
+func TestFrozenEntryInstanceResetsNothingAtFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(1)
+	d.Sweep(start)
+	thawed := start.Add(5 * time.Second)
+	d.Sweep(thawed)
+	d.Status(thawed, statusOf(1))
+	d.Handle(thawed, data(1, 5001))
+	g.Expect(d.Note(thawed, companionAt(1), passthrough.Note{Kind: passthrough.NoteAbsent, Key: flowKey(1)})).To(gomega.BeEmpty())
+}
--- a/passthrough/gate.go
+++ b/passthrough/gate.go
@@ -91,6 +91,8 @@
 	stageProbing
 	// stageClosed: the flow has ended.
 	stageClosed
+	// stageAbsent: the backend server has given a packet of the flow back.
+	stageAbsent
 )
 
 // gateFlow is what a Gate knows of one flow.
@@ -176,6 +178,10 @@
 func (g *Gate) FromEntry(now time.Time, entry netip.AddrPort, sought bool, version uint64, p *Packet) []GateAction {
 	g.out = g.out[:0]
 	flow, known := g.flows[p.Key]
+	if known && flow.stage == stageAbsent && p.Flags.Opens() {
+		delete(g.flows, p.Key)
+		flow, known = nil, false
+	}
 	if known {
 		flow.entry, flow.sought, flow.seen = entry, sought, now
 	}
@@ -184,6 +190,8 @@
 		g.opening(now, entry, version, p, flow)
 	case !known:
 		g.unknown(now, entry, sought, p)
+	case flow.stage == stageAbsent:
+		g.notHere(entry, sought, p, ReasonNotHere)
 	case flow.stage == stageHalfOpen:
 		g.confirming(now, p, flow)
 	default:
@@ -200,7 +208,7 @@
 	switch {
 	case known && (flow.stage == stageOpen || flow.stage == stageClosed):
 		g.note(NoteOpened, ReasonOpened, key, entry)
-	case !known && (g.knowsAll(now) || !g.mayHold(key)):
+	case known && flow.stage == stageAbsent, !known && (g.knowsAll(now) || !g.mayHold(key)):
 		g.note(NoteAbsent, ReasonNotHere, key, entry)
 	default:
 		g.note(NoteUnsure, ReasonUnknownFlow, key, entry)
--- a/passthrough/gate_answer.go
+++ b/passthrough/gate_answer.go
@@ -39,7 +39,7 @@
 		flow.answered, flow.synAck = true, p.Seq
 		return
 	}
-	if flow.stage == stageProbing {
+	if flow.stage == stageProbing || flow.stage == stageAbsent {
 		flow.stage = stageOpen
 		g.open++
 		g.note(NoteOpened, ReasonOpened, p.Key, flow.entry)
@@ -77,7 +77,8 @@
 	case flow.stage == stageClosed:
 		g.act(GateDrop, ReasonFlowLost, p)
 	default:
-		g.forget(p.Key, flow)
+		g.close(flow)
+		flow.stage = stageAbsent
 		g.notHere(entry, sought, p, ReasonNotHere)
 	}
 }
@@ -129,7 +130,7 @@
 	switch flow.stage {
 	case stageHalfOpen, stageProbing:
 		return halfOpenLimit
-	case stageClosed:
+	case stageClosed, stageAbsent:
 		return closedLimit
 	default:
 		if g.table != nil && g.table.View.IdleTimeout > 0 {
--- a/passthrough/gate_test.go
+++ b/passthrough/gate_test.go
@@ -203,6 +203,9 @@
 	returned := data(2, 7001)
 	returned.Returned = true
 	b.expect(b.gate.FromServer(b.now, returned), passthrough.GateNotHere, passthrough.ReasonNotHere)
+	// It isn't asked again about that flow.
+	b.expect(b.send(data(2, 7001)), passthrough.GateNotHere, passthrough.ReasonNotHere)
+	b.g.Expect(b.gate.Question(b.now, entryAt, flowKey(2))[0].Note.Kind).To(gomega.Equal(passthrough.NoteAbsent))
 }
 
 func TestSoughtFlowThatIsNotHereIsAnswered(t *testing.T) {
--- a/roles/companion/companion.go
+++ b/roles/companion/companion.go
@@ -50,7 +50,9 @@
 	Server netip.AddrPort
 	// Service is what the backend server is expected to serve.
 	Service core.ServiceName
-	Seeds   []netip.AddrPort
+	// Seeds returns the control instances that the settings name by now; at least
+	// one.
+	Seeds   func() []netip.AddrPort
 	Gate    passthrough.GateConfig
 	Codec   traffic.Codec
 	Log     *slog.Logger
--- a/roles/control/control.go
+++ b/roles/control/control.go
@@ -55,8 +55,9 @@
 	Instance core.InstanceID
 	// RPC is the TCP address for other processes, and the UDP address for hellos.
 	RPC netip.AddrPort
-	// Seeds are control instances known at the start, by their RPC addresses.
-	Seeds []netip.AddrPort
+	// Seeds returns the control instances that the settings name by now, by their
+	// RPC addresses; at least one.
+	Seeds func() []netip.AddrPort
 	// First says that the deployment starts for the first time: the seeds, if this
 	// instance is one of them, make a new group.
 	First bool
@@ -167,7 +168,7 @@
 }
 
 func (s *Server) isSeed() bool {
-	for _, seed := range s.config.Seeds {
+	for _, seed := range s.config.Seeds() {
 		if seed == s.config.RPC {
 			return true
 		}
@@ -182,7 +183,7 @@
 // firstGroup is the state with which each seed starts a new group.
 func (s *Server) firstGroup() durable.Base {
 	var members []consensus.Member
-	for _, seed := range s.config.Seeds {
+	for _, seed := range s.config.Seeds() {
 		id := consensus.MemberID{Instance: instanceAt(seed), Incarnation: firstIncarnation}
 		members = append(members, consensus.Member{ID: id, Address: seed, Role: consensus.RoleVoter})
 	}
@@ -194,10 +195,10 @@
 
 // join asks to become a member for as long as this instance is none.
 func (s *Server) join(ctx context.Context) {
-	known := s.config.Seeds
 	for turn := 0; ctx.Err() == nil; turn++ {
 		answer, err := loop.Ask(ctx, s.loop, func(reply loop.Reply[membershipAnswer]) event { return membershipQuestion{reply: reply} })
 		if err == nil && answer.ready && !answer.member {
+			known := s.config.Seeds()
 			s.askToJoin(ctx, answer.self, known[turn%len(known)])
 		}
 		select {
--- a/roles/control/control_test.go
+++ b/roles/control/control_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"zinniapulley.dev/durable"
 	"zinniapulley.dev/roles/control"
 	"zinniapulley.dev/route"
+	"zinniapulley.dev/wire"
 )
 
 // freeAddress returns an address whose TCP and UDP ports are free.
@@ -33,6 +35,8 @@
 	t       *testing.T
 	seeds   []netip.AddrPort
 	servers []*control.Server
+	// stalled stops the disk of the instance at the same index.
+	stalled []*atomic.Bool
 }
 
 func startGroup(t *testing.T, size int) *group {
@@ -43,16 +47,17 @@
 		g.seeds = append(g.seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(10 + i)}), port))
 	}
 	for _, seed := range g.seeds {
-		g.servers = append(g.servers, g.start(seed, t.TempDir(), true))
+		g.stalled = append(g.stalled, &atomic.Bool{})
+		g.servers = append(g.servers, g.start(seed, t.TempDir(), true, stallingDisk{stalled: g.stalled[len(g.stalled)-1]}))
 	}
 	return g
 }
 
-func (g *group) start(at netip.AddrPort, folder string, first bool) *control.Server {
+func (g *group) start(at netip.AddrPort, folder string, first bool, files durable.FileSystem) *control.Server {
 	g.t.Helper()
 	server, err := control.New(control.Config{
-		Instance: core.InstanceID(at.Addr().String()), RPC: at, Seeds: g.seeds, First: first, Folder: folder,
-		Files: durable.Disk{}, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
+		Instance: core.InstanceID(at.Addr().String()), RPC: at, Seeds: func() []netip.AddrPort { return g.seeds }, First: first, Folder: folder,
+		Files: files, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
 	})
 	if err != nil {
 		g.t.Fatal(err)
@@ -67,6 +72,29 @@
 	return server
 }
 
+// stallingDisk is a disk whose syncs wait while it is stalled.
+type stallingDisk struct {
+	durable.Disk
+	stalled *atomic.Bool
+}
+
+type stallingFile struct {
+	durable.File
+	stalled *atomic.Bool
+}
+
+func (d stallingDisk) Create(name string) (durable.File, error) {
+	file, err := d.Disk.Create(name)
+	return stallingFile{file, d.stalled}, err
+}
+
+func (f stallingFile) Sync() error {
+	for f.stalled.Load() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return f.File.Sync()
+}
+
 func configuration(version uint64) route.Configuration {
 	return route.Configuration{Version: version, Source: []byte{byte(version)}}
 }
@@ -110,7 +138,7 @@
 		_, err := group.servers[0].Configure(context.Background(), configuration(5))
 		return err
 	})
-	joined := group.start(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 20}), group.seeds[0].Port()), t.TempDir(), false)
+	joined := group.start(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 20}), group.seeds[0].Port()), t.TempDir(), false, durable.Disk{})
 	eventually(t, func() error {
 		_, err := joined.Configure(context.Background(), configuration(6))
 		return err
@@ -119,3 +147,36 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(source).To(gomega.Equal([]byte{6}))
 }
+
+// An instance whose disk is stalled hears of what is committed but can't apply it.
+// It sends others away instead of keeping them at an old view.
+func TestInstanceWithAStalledDiskSaysThatItIsBehind(t *testing.T) {
+	g := gomega.NewWithT(t)
+	group := startGroup(t, 3)
+	eventually(t, func() error {
+		_, err := group.servers[0].Configure(context.Background(), configuration(5))
+		return err
+	})
+	sync := func(i int, revision core.Revision) wire.SyncReply {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		client := wire.NewClient(group.seeds[i])
+		defer client.Close()
+		var reply wire.SyncReply
+		err := client.Call(ctx, wire.MethodSync, wire.SyncRequest{Instance: "x", Revision: revision}, &reply)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return reply
+	}
+	for i := range group.servers {
+		g.Eventually(func() bool { return sync(i, 1).Behind }, 20*time.Second, 20*time.Millisecond).Should(gomega.BeFalse())
+	}
+	group.stalled[2].Store(true)
+	defer group.stalled[2].Store(false)
+	version := uint64(6)
+	g.Eventually(func() bool {
+		// The stalled one may lead at first: it hands over.
+		_, _ = group.servers[0].Configure(context.Background(), configuration(version))
+		version++
+		return sync(2, 1).Behind && !sync(0, 1).Behind
+	}, 30*time.Second, 50*time.Millisecond).Should(gomega.BeTrue())
+}
--- a/roles/control/handler.go
+++ b/roles/control/handler.go
@@ -22,6 +22,11 @@
 	"zinniapulley.dev/wire"
 )
 
+// lagLimit is how long what is committed may wait for the disk here before
+// instances are sent elsewhere. It is far below the time within which a change must
+// be in force, 3 s.
+const lagLimit = 300 * time.Millisecond
+
 // handler owns all control state of a control instance. Only the control
 // goroutine calls it.
 type handler struct {
@@ -33,6 +38,10 @@
 	entries map[netip.AddrPort]time.Time
 	peers   peerList
 	waiters []waiter
+	// now is the time of the event in hand.
+	now time.Time
+	// lagging is since when less is applied than is committed; zero if it isn't.
+	lagging time.Time
 	// restoring is set while what was committed before the start is applied.
 	restoring bool
 	sweep     time.Time
@@ -57,6 +66,7 @@
 
 // Handle takes one event.
 func (h *handler) Handle(now time.Time, e event) {
+	h.now = now
 	e.handle(h, now)
 	h.after(now)
 }
@@ -77,6 +87,7 @@
 
 // Wake acts on the time that has passed.
 func (h *handler) Wake(now time.Time) {
+	h.now = now
 	if h.replica != nil {
 		h.replica.Wake(now)
 	}
@@ -97,6 +108,7 @@
 		removed.Close()
 		go h.server.openFolder(h.ctx, removed.Ended())
 	}
+	h.followLag()
 	h.listPeers()
 	h.waiters = slices.DeleteFunc(h.waiters, func(w waiter) bool {
 		if h.unchanged(w.request) && now.Before(w.due) {
@@ -115,13 +127,29 @@
 }
 
 // current reports whether what is applied here is what is in force, as far as
-// this instance can know without asking a quorum.
+// this instance can know without asking a quorum. One whose disk is stalled hears
+// of what is committed but can't apply it.
 func (h *handler) current() bool {
 	if h.replica == nil {
 		return false
 	}
 	status := h.replica.Status()
-	return status.Membership.IsVoter(h.replica.Self()) && status.Leader != consensus.MemberID{}
+	known := status.Membership.IsVoter(h.replica.Self()) && status.Leader != consensus.MemberID{}
+	return known && (h.lagging.IsZero() || h.now.Sub(h.lagging) < lagLimit)
+}
+
+// followLag notes since when less is applied here than is committed.
+func (h *handler) followLag() {
+	if h.replica == nil {
+		return
+	}
+	status := h.replica.Status()
+	switch {
+	case status.Applied >= status.Commit:
+		h.lagging = time.Time{}
+	case h.lagging.IsZero():
+		h.lagging = h.now
+	}
 }
 
 func (h *handler) unchanged(request wire.SyncRequest) bool {
--- a/roles/entry/entry.go
+++ b/roles/entry/entry.go
@@ -29,7 +29,7 @@
 	// tickInterval is the time between looks for what is due in the packet path.
 	tickInterval = 250 * time.Millisecond
 	// helloInterval is the time between hellos to the control instances.
-	helloInterval = 300 * time.Millisecond
+	helloInterval = 200 * time.Millisecond
 	// leaveTime is how long a stop waits for callers' packets to go elsewhere: the
 	// two missed checks of the routers, each half a second, and one more.
 	leaveTime = 1700 * time.Millisecond
@@ -43,8 +43,9 @@
 	Packets netip.AddrPort
 	// Peers is the UDP address for companions.
 	Peers netip.AddrPort
-	// Seeds are the control instances known at the start.
-	Seeds   []netip.AddrPort
+	// Seeds returns the control instances that the settings name by now; at least
+	// one.
+	Seeds   func() []netip.AddrPort
 	Codec   traffic.Codec
 	Log     *slog.Logger
 	Metrics metrics.Registry
@@ -95,7 +96,7 @@
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Post:   func(ctx context.Context, u feed.Update) error { return e.loop.Send(ctx, updated(u)) },
 	})
-	go e.loop.Run(serving, &control{entry: e, controls: e.config.Seeds})
+	go e.loop.Run(serving, &control{entry: e, controls: e.config.Seeds()})
 	trafficDone := make(chan struct{})
 	go func() {
 		defer close(trafficDone)
@@ -148,7 +149,7 @@
 	}
 }
 
-func (u updated) handle(c *control, _ time.Time) {
+func (u updated) handle(c *control, now time.Time) {
 	if len(u.Controls) > 0 {
 		c.controls = u.Controls
 		c.entry.config.Log.Info("control instances known", "controls", u.Controls)
@@ -157,6 +158,10 @@
 	if u.View == nil || (current != nil && u.View.Revision <= current.View.Revision) {
 		return
 	}
+	if current == nil {
+		// Control has just been reached: it should hear of this instance at once.
+		c.Wake(now)
+	}
 	c.entry.table.Store(route.Compile(u.View))
 	c.entry.config.Log.Info("view in force", "revision", u.View.Revision, "version", u.View.Version,
 		"routes", len(u.View.Routes), "out", u.View.Out)
--- a/roles/feed/feed.go
+++ b/roles/feed/feed.go
@@ -41,8 +41,9 @@
 // Config sets up a feed.
 type Config struct {
 	Instance core.InstanceID
-	// Seeds are the control instances known at the start.
-	Seeds []netip.AddrPort
+	// Seeds returns the control instances that the settings name by now; at least
+	// one.
+	Seeds func() []netip.AddrPort
 	Log   *slog.Logger
 	// Post hands an update to the control goroutine.
 	Post func(context.Context, Update) error
@@ -63,7 +64,7 @@
 
 // Run asks until ctx is done.
 func Run(ctx context.Context, config Config) {
-	f := &feed{config: config, controls: config.Seeds, pause: pauseMin}
+	f := &feed{config: config, controls: config.Seeds(), pause: pauseMin}
 	f.request.Instance = config.Instance
 	for ctx.Err() == nil {
 		err := f.ask(ctx)
@@ -119,7 +120,7 @@
 func (f *feed) next() netip.AddrPort {
 	all := f.controls
 	if len(all) == 0 || f.config.Random.IntN(4) == 0 {
-		all = f.config.Seeds
+		all = f.config.Seeds()
 	}
 	i := f.config.Random.IntN(len(all))
 	if all[i] == f.at {
--- a/roles/systemtest/system_test.go
+++ b/roles/systemtest/system_test.go
@@ -114,6 +114,8 @@
 	return s
 }
 
+func (s *system) known() []netip.AddrPort { return s.seeds }
+
 func dataCentre(server byte) string {
 	return []string{"north", "south"}[server%2]
 }
@@ -131,7 +133,7 @@
 
 func (s *system) startControl(i int, first bool) *process[*control.Server] {
 	server, err := control.New(control.Config{
-		Instance: core.InstanceID(s.seeds[i].String()), RPC: s.seeds[i], Seeds: s.seeds, First: first, Folder: s.folders[i],
+		Instance: core.InstanceID(s.seeds[i].String()), RPC: s.seeds[i], Seeds: s.known, First: first, Folder: s.folders[i],
 		Files: durable.Disk{}, Log: quiet, Metrics: metrics.NewRegistry(),
 	})
 	return run(s.t, server, err)
@@ -140,7 +142,7 @@
 func (s *system) startEntry(i byte) *process[*entry.Entry] {
 	built, err := entry.New(entry.Config{
 		Instance: core.InstanceID("entry" + string('1'+i)), DataCentre: "north", Packets: entryAt(i), Peers: at(groupEntry, i+1, internalPort),
-		Seeds: s.seeds, Codec: platform.Datagrams{CallerPort: callerPort}, Log: quiet, Metrics: metrics.NewRegistry(),
+		Seeds: s.known, Codec: platform.Datagrams{CallerPort: callerPort}, Log: quiet, Metrics: metrics.NewRegistry(),
 	})
 	return run(s.t, built, err)
 }
@@ -151,7 +153,7 @@
 	built, err := companion.New(companion.Config{
 		Instance: core.InstanceID("companion" + string('1'+i)), DataCentre: core.DataCentre(dataCentre(i)),
 		Packets: at(groupCompanion, i+1, callerPort), Outbound: at(groupCompanion, i+1, outboundPort), Server: at(groupCompanion, i+1, serverPort),
-		Seeds: s.seeds, Codec: platform.Datagrams{CallerPort: callerPort}, Log: quiet, Metrics: metrics.NewRegistry(),
+		Seeds: s.known, Codec: platform.Datagrams{CallerPort: callerPort}, Log: quiet, Metrics: metrics.NewRegistry(),
 		Gate: passthrough.GateConfig{DataCentre: core.DataCentre(dataCentre(i)), AnnouncementLimit: time.Hour, ColdFactor: 1.5, ColdSlack: 5, MaxFlowAge: time.Minute},
 	})
 	return run(s.t, built, err)
--- a/tools/importrule/importrule.go
+++ b/tools/importrule/importrule.go
@@ -1,6 +1,7 @@
 // Package importrule checks that the decision modules of the workspace do no
 // I/O and read no clock: their direct imports name neither networking, files
-// nor encodings, and their code calls none of the clock's functions.
+// nor encodings, and their code calls none of the clock's functions. It also
+// checks that the names of the users' platform stay in its adapter.
 package importrule
 
 import (
@@ -8,7 +9,9 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -18,15 +21,26 @@
 // Cores lists the decision modules, by folder.
 var Cores = []string{
 	"admission", "claim", "config", "consensus", "core", "flow",
-	"membership", "placement", "publish", "request",
+	"membership", "passthrough", "placement", "publish", "request", "route",
 }
 
 // allowedProject lists the project's modules that a decision module may import.
 var allowedProject = map[string]bool{
 	"zinniapulley.dev/core":            true,
 	"zinniapulley.dev/core/strictjson": true,
+	"zinniapulley.dev/route":           true,
 }
 
+// platformNames are names of the users' platform that only its adapter may use.
+var platformNames = []string{
+	"packetAddr", "heartbeatAddr", "coldLeftMs", "coldPerS", "forwardingMode", "internalPorts", "latencySloMs", "timeoutMs",
+	"healthPath", "idleTimeoutMs", "heartbeatMs", "machineClass", "faultTolerance", "nodeName", "evacuations", "/zinniapulley/",
+	"X-Zinniapulley",
+}
+
+// adapters are the folders that may use them.
+var adapters = []string{"platform", "deploy", "tools"}
+
 // forbiddenImports lists imports that do I/O, read a clock or encode messages.
 var forbiddenImports = map[string]bool{
 	"net": true, "net/http": true, "net/rpc": true, "os": true, "os/exec": true,
@@ -67,6 +81,48 @@
 	return breaches, errors.Annotatef(err, "check imports of %s", folder)
 }
 
+// CheckNames returns every place in the Go files below the workspace, tests left
+// out, at which code outside the adapter uses a name of the platform.
+func CheckNames(workspace string) ([]Breach, error) {
+	var breaches []Breach
+	walk := func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		relative, err := filepath.Rel(workspace, path)
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && (slices.Contains(adapters, relative) || (relative != "." && strings.HasPrefix(entry.Name(), "."))) {
+			return fs.SkipDir
+		}
+		if entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		found, err := checkNames(path)
+		breaches = append(breaches, found...)
+		return err
+	}
+	err := filepath.WalkDir(workspace, walk)
+	return breaches, errors.Annotatef(err, "check names below %s", workspace)
+}
+
+func checkNames(path string) ([]Breach, error) {
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var breaches []Breach
+	for i, line := range strings.Split(string(source), "\n") {
+		for _, name := range platformNames {
+			if strings.Contains(line, name) {
+				breaches = append(breaches, Breach{File: path, Line: i + 1, What: "name " + name})
+			}
+		}
+	}
+	return breaches, nil
+}
+
 func checkFile(path string) ([]Breach, error) {
 	files := token.NewFileSet()
 	file, err := parser.ParseFile(files, path, nil, 0)
--- a/tools/importrule/importrule_test.go
+++ b/tools/importrule/importrule_test.go
@@ -36,3 +36,28 @@
 	}
 	g.Expect(what).To(gomega.Equal([]string{"import net", "import zinniapulley.dev/wire", "time.Now"}))
 }
+
+func TestPlatformNamesStayInTheAdapter(t *testing.T) {
+	g := gomega.NewWithT(t)
+	breaches, err := importrule.CheckNames(workspace)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(breaches).To(gomega.BeEmpty())
+}
+
+func TestCheckFindsPlatformNames(t *testing.T) {
+	g := gomega.NewWithT(t)
+	folder := t.TempDir()
+	g.Expect(os.WriteFile(filepath.Join(folder, "bad.go"), []byte("package bad\n\nconst key = \"coldLeftMs\"\n"), 0o600)).To(gomega.Succeed())
+	breaches, err := importrule.CheckNames(folder)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(breaches).To(gomega.HaveLen(1))
+	g.Expect(breaches[0].Line).To(gomega.Equal(3))
+}
+
+// Links and page names in the documents lead somewhere.
+func TestDocumentsLinkToWhatIsThere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	dead, err := importrule.DeadLinks(workspace)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(dead).To(gomega.BeEmpty())
+}
--- a/wire/client.go
+++ b/wire/client.go
@@ -10,9 +10,10 @@
 	"zinniapulley.dev/core"
 )
 
-// dialTimeout is how long a connection may take to be made: a few round trips
-// between regions. A machine without power doesn't answer at all.
-const dialTimeout = 300 * time.Millisecond
+// dialTimeout is how long a connection may take to be made: three round trips
+// between regions 20 ms apart. A machine without power doesn't answer at all, and a
+// lost packet is repeated sooner by a new try than by the kernel.
+const dialTimeout = 120 * time.Millisecond
 
 // Client calls one peer over net/rpc and dials again after a failure. It
 // belongs to one goroutine.
