Try a flow that is refused for want of time again with the caller's copies

Change: such an opening packet is dropped while copies of it are to come, and reset with the last; repeated ones are admitted behind those that can still be in time.

--- a/passthrough/dispatcher.go
+++ b/passthrough/dispatcher.go
@@ -22,6 +22,9 @@
 	cacheIdle = 25 * time.Second
 	// closedIdle is the same once the caller has closed its side.
 	closedIdle = 3 * time.Second
+	// callerCopies is how many copies of an opening packet a caller sends. Each says
+	// in its acknowledgement which one it is.
+	callerCopies = 2
 	// startGrace is how long after its start an entry instance may not have heard
 	// of every companion: three intervals between their statuses, and the time in
 	// which they learn of it. An opening packet that finds none is dropped then, so
@@ -88,6 +91,9 @@
 	owner netip.AddrPort
 	asked []ask
 	seen  time.Time
+	// busy says that a companion refused the flow only because its answer would come
+	// too late.
+	busy bool
 	// search is set while the flow is sought.
 	search *search
 	// closing is set once the caller has closed its side.
@@ -232,7 +238,13 @@
 			return
 		}
 	}
+	busy := flow.busy && p.Ack < callerCopies
 	delete(d.flows, p.Key)
+	if busy {
+		// The caller's next copy is tried again: by then there may be room.
+		d.drop(p, ReasonBusy)
+		return
+	}
 	d.reset(p, ReasonAllRefused)
 }
 
@@ -287,12 +299,13 @@
 
 // Refused takes an opening packet back from a companion that didn't admit it.
 // The result is valid until the next call.
-func (d *Dispatcher) Refused(now time.Time, from netip.AddrPort, p *Packet) []Dispatch {
+func (d *Dispatcher) Refused(now time.Time, from netip.AddrPort, reason Reason, p *Packet) []Dispatch {
 	d.out = d.out[:0]
 	flow, known := d.flows[p.Key]
 	if !known || flow.owner.IsValid() || d.table == nil {
 		return d.out
 	}
+	flow.busy = flow.busy || reason == ReasonBusy
 	for i := range flow.asked {
 		if flow.asked[i].at == from {
 			flow.asked[i].refused, flow.asked[i].admitted = true, false
--- a/passthrough/dispatcher_test.go
+++ b/passthrough/dispatcher_test.go
@@ -105,7 +105,7 @@
 		g.Expect(to).To(gomega.HaveLen(1))
 		g.Expect(seen[to[0]]).To(gomega.BeFalse())
 		seen[to[0]] = true
-		actions = d.Refused(start, to[0], syn(1))
+		actions = d.Refused(start, to[0], passthrough.ReasonFull, syn(1))
 	}
 	g.Expect(actions).To(gomega.HaveLen(1))
 	g.Expect(actions[0].Kind).To(gomega.Equal(passthrough.DispatchReset))
@@ -314,3 +314,23 @@
 	d.Handle(thawed, data(1, 5001))
 	g.Expect(d.Note(thawed, companionAt(1), passthrough.Note{Kind: passthrough.NoteAbsent, Key: flowKey(1)})).To(gomega.BeEmpty())
 }
+
+// A flow that is refused for want of time only is tried again with the caller's
+// copies, and refused with the last.
+func TestBusyFlowIsTriedAgainWithTheNextCopy(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(1)
+	for number := range uint32(3) {
+		p := syn(1)
+		p.Ack = number
+		at := start.Add(time.Duration(number) * 300 * time.Millisecond)
+		g.Expect(targets(d.Handle(at, p), passthrough.DispatchForward)).To(gomega.HaveLen(1))
+		actions := d.Refused(at, companionAt(1), passthrough.ReasonBusy, p)
+		g.Expect(actions).To(gomega.HaveLen(1))
+		wanted := passthrough.DispatchDrop
+		if number == 2 {
+			wanted = passthrough.DispatchReset
+		}
+		g.Expect(actions[0].Kind).To(gomega.Equal(wanted))
+	}
+}
--- a/passthrough/model_test.go
+++ b/passthrough/model_test.go
@@ -170,7 +170,7 @@
 		case passthrough.GateDeliver:
 			w.deliver(entry, companion, a.Packet, depth)
 		case passthrough.GateRefuse:
-			w.dispatch(entry, w.entries[entry].Refused(w.now, companionAt(companion), a.Packet), depth+1)
+			w.dispatch(entry, w.entries[entry].Refused(w.now, companionAt(companion), a.Reason, a.Packet), depth+1)
 		case passthrough.GateNotHere:
 			w.dispatch(entry, w.entries[entry].NotHere(w.now, companionAt(companion), a.Packet), depth+1)
 		case passthrough.GateNote:
--- a/passthrough/pace.go
+++ b/passthrough/pace.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"zinniapulley.dev/core"
 )
 
 const (
@@ -19,6 +17,9 @@
 	// wait, so that urgent ones still find room when others don't.
 	urgentShare = 0.9
 	otherShare  = 0.6
+	// repeatShare is the same for a flow whose caller has sent a copy of its opening
+	// packet: its answer is late already, and goes behind those that aren't.
+	repeatShare = 0.2
 	// freeQueue is how many requests per slot are let in whatever their wait.
 	freeQueue = 2
 )
@@ -49,11 +50,11 @@
 // busy reports whether the first request of a new flow would wait so long that its
 // answer comes later than callers count on. It is better refused than served late
 // at the cost of all behind it.
-func (g *Gate) busy(key core.FlowKey) bool {
+func (g *Gate) busy(p *Packet) bool {
 	if g.running < freeQueue*g.target.Slots {
 		return false
 	}
-	found := g.table.Route(key.Service)
+	found := g.table.Route(p.Key.Service)
 	if found == nil || found.Objective <= 0 {
 		return false
 	}
@@ -61,5 +62,8 @@
 	if found.Priority <= urgentPriority {
 		share = urgentShare
 	}
+	if p.Ack > 0 {
+		share = repeatShare
+	}
 	return float64(g.running)*float64(g.pace.interval) > share*float64(found.Objective)
 }
--- a/passthrough/target.go
+++ b/passthrough/target.go
@@ -118,7 +118,7 @@
 	if service != nil && service.MaxConnections > 0 && g.open >= service.MaxConnections {
 		return ReasonConnections
 	}
-	if g.busy(p.Key) {
+	if g.busy(p) {
 		return ReasonBusy
 	}
 	if g.silent(now) {
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -119,7 +119,7 @@
 	}
 	o.logGivenBack(now, d.From, &packet, envelope)
 	if envelope.Kind == hop.KindRefused {
-		o.carryOut(now, o.dispatcher.Refused(now, d.From, &packet))
+		o.carryOut(now, o.dispatcher.Refused(now, d.From, envelope.Reason, &packet))
 		return nil
 	}
 	o.carryOut(now, o.dispatcher.NotHere(now, d.From, &packet))
