--- a/cmd/zinniapulley/main.go
+++ b/cmd/zinniapulley/main.go
@@ -14,12 +14,16 @@
 
 // commands lists the subcommands.
 type commands struct {
-	Entry     entryCommand     `cmd:"" help:"Run an entry instance: take packets from the fabric and send each to its companion."`
-	Companion companionCommand `cmd:"" help:"Run the companion of a backend server: announce it, admit its flows and deliver them."`
-	Control   controlCommand   `cmd:"" help:"Run a control instance: keep the replicated configuration, membership and placement."`
-	Check     checkCommand     `cmd:"" help:"Check a settings file or a configuration document and list every fault."`
-	Platform  platformCommand  `cmd:"" help:"Run a role as the users' platform starts it; the environment names the settings file."`
-	Demo      demoCommand      `cmd:"" help:"Run all roles in this process, with small backend servers and callers."`
+	Entry      entryCommand      `cmd:"" help:"Run an entry instance: take packets from the fabric and send each to its companion."`
+	Companion  companionCommand  `cmd:"" help:"Run the companion of a backend server: announce it, admit its flows and deliver them."`
+	Control    controlCommand    `cmd:"" help:"Run a control instance: keep the replicated configuration, membership and placement."`
+	Check      checkCommand      `cmd:"" help:"Check a settings file or a configuration document and list every fault."`
+	Platform   platformCommand   `cmd:"" help:"Run a role as the users' platform starts it; the environment names the settings file."`
+	Config     configCommand     `cmd:"" help:"Read and change the configuration."`
+	Status     statusCommand     `cmd:"" help:"Show members, instances with their revisions, and backend servers."`
+	Datacentre datacentreCommand `cmd:"" help:"Take a data centre out or put it in."`
+	Drain      drainCommand      `cmd:"" help:"Have a backend server drain, or no longer."`
+	Demo       demoCommand       `cmd:"" help:"Run all roles in this process, with small backend servers and callers."`
 }
 
 func main() {
