Name requests in the companions' lines, and count a repeated packet once

Change: the adapter finds the request's identity for the log alone; a request begins only with data not seen before.

--- a/passthrough/gate.go
+++ b/passthrough/gate.go
@@ -108,6 +108,9 @@
 	synAck   uint32
 	// proven says that the backend server has sent something on the open flow.
 	proven bool
+	// sent says that data of the caller was seen, up to sentTo.
+	sent   bool
+	sentTo uint32
 	// waiting says that a request waits for its answer, since then.
 	waiting   bool
 	since     time.Time
@@ -137,8 +140,9 @@
 	stopping bool
 	swept    time.Time
 	out      []GateAction
-	// Served is called with the time from a request to its answer, if set.
-	Served func(time.Duration)
+	// Served is called with a flow and the time from its request to the beginning of
+	// the answer, if set.
+	Served func(core.FlowKey, time.Duration)
 }
 
 // NewGate returns a Gate that admits nothing until it has a view and has heard of
@@ -290,9 +294,11 @@
 		g.lost(p, flow)
 		return
 	}
-	if p.Length > 0 && !flow.waiting && flow.stage == stageOpen {
+	reason := ReasonCached
+	if flow.stage == stageOpen && flow.isNew(p) && !flow.waiting {
 		flow.waiting, flow.since = true, now
 		g.running++
+		reason = ReasonRequest
 	}
 	if p.Flags.Has(core.TCPFin) {
 		flow.callerFin = true
@@ -301,7 +307,21 @@
 	if p.Flags.Has(core.TCPRst) {
 		g.close(flow)
 	}
-	g.act(GateDeliver, ReasonCached, p)
+	g.act(GateDeliver, reason, p)
+}
+
+// isNew reports whether a caller's packet brings data that wasn't seen before, and
+// notes how far its data has come. A repeated packet is no new request.
+func (f *gateFlow) isNew(p *Packet) bool {
+	if p.Length == 0 {
+		return false
+	}
+	end := p.Seq + uint32(p.Length)
+	if f.sent && int32(end-f.sentTo) <= 0 {
+		return false
+	}
+	f.sent, f.sentTo = true, end
+	return true
 }
 
 // lost ends a flow that the backend server no longer holds.
--- a/passthrough/gate_answer.go
+++ b/passthrough/gate_answer.go
@@ -49,7 +49,7 @@
 		g.pace.answered(now, g.running >= g.target.Slots)
 		g.endRequest(flow)
 		if g.Served != nil {
-			g.Served(now.Sub(flow.since))
+			g.Served(p.Key, now.Sub(flow.since))
 		}
 	}
 	if p.Flags.Has(core.TCPFin) {
--- a/passthrough/gate_test.go
+++ b/passthrough/gate_test.go
@@ -95,7 +95,7 @@
 			b.open(1, 5000)
 			c.change(b)
 			b.expect(b.send(syn(2)), passthrough.GateRefuse, c.reason)
-			b.expect(b.send(data(1, 5001)), passthrough.GateDeliver, passthrough.ReasonCached)
+			b.expect(b.send(data(1, 5001)), passthrough.GateDeliver, passthrough.ReasonRequest)
 		})
 	}
 }
@@ -197,7 +197,7 @@
 	b := newBench(t)
 	b.expect(b.send(data(1, 5001)), passthrough.GateDeliver, passthrough.ReasonUnknownFlow)
 	b.gate.FromServer(b.now, &passthrough.Packet{Key: flowKey(1), Flags: core.TCPAck})
-	b.expect(b.send(data(1, 5002)), passthrough.GateDeliver, passthrough.ReasonCached)
+	b.expect(b.send(data(1, 5002)), passthrough.GateDeliver, passthrough.ReasonRequest)
 
 	b.expect(b.send(data(2, 7001)), passthrough.GateDeliver, passthrough.ReasonUnknownFlow)
 	returned := data(2, 7001)
@@ -263,7 +263,24 @@
 	for port := range 3 {
 		b.after(40 * time.Millisecond)
 		b.gate.FromServer(b.now, &passthrough.Packet{Key: flowKey(port), Flags: core.TCPAck, Length: 100})
-		b.send(data(port, 5101))
+		next := data(port, 5101)
+		next.Seq += uint32(next.Length)
+		b.send(next)
 	}
 	b.expect(b.send(syn(9)), passthrough.GateRefuse, passthrough.ReasonBusy)
 }
+
+// A packet that a caller repeats was counted as another request, which then waited
+// for an answer that never came.
+func TestRepeatedPacketIsNoNewRequest(t *testing.T) {
+	b := newBench(t)
+	b.open(1, 5000)
+	b.expect(b.send(data(1, 5001)), passthrough.GateDeliver, passthrough.ReasonRequest)
+	b.gate.FromServer(b.now, &passthrough.Packet{Key: flowKey(1), Flags: core.TCPAck, Seq: 5001, Length: 100})
+	b.g.Expect(b.gate.Running()).To(gomega.BeZero())
+	b.expect(b.send(data(1, 5001)), passthrough.GateDeliver, passthrough.ReasonCached)
+	b.g.Expect(b.gate.Running()).To(gomega.BeZero())
+	next := data(1, 5101)
+	next.Seq += uint32(next.Length)
+	b.expect(b.send(next), passthrough.GateDeliver, passthrough.ReasonRequest)
+}
--- a/passthrough/packet.go
+++ b/passthrough/packet.go
@@ -66,6 +66,7 @@
 	ReasonStrayReset
 	ReasonStarting
 	ReasonBusy
+	ReasonRequest
 
 	// ReasonCount is the number of reasons, for arrays of counters.
 	ReasonCount
@@ -78,7 +79,7 @@
 	"backend server doesn't answer", "route doesn't allow the service", "cold backend server bears no more",
 	"too many connections", "backend server refused", "flow is not here", "backend server has lost the flow",
 	"companion stops", "too many flows are sought", "reset of an unknown flow",
-	"entry instance has just started", "answer would come too late",
+	"entry instance has just started", "answer would come too late", "request begins",
 }
 
 // String returns the reason in words.
--- a/roles/companion/owner.go
+++ b/roles/companion/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"zinniapulley.dev/asynclog"
+	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
 	"zinniapulley.dev/roles/traffic"
 	"zinniapulley.dev/wire/hop"
@@ -19,6 +20,12 @@
 	// that were admitted and about packets that weren't delivered.
 	admittedLines = 20
 	failedLines   = 60
+	// requestLines and lateLines are the same about requests that begin and about
+	// answers that come later than callers count on.
+	requestLines = 30
+	lateLines    = 60
+	// maxRequests is the most requests whose identity is kept for the log.
+	maxRequests = 4096
 	// restInterval is the longest time between statuses while nothing changes.
 	restInterval = 300 * time.Millisecond
 	// sampleSize and sampleAlpha shape the sample of service times.
@@ -34,10 +41,15 @@
 	log       *slog.Logger
 	admitted  asynclog.Limit
 	failed    asynclog.Limit
-	buffer    []byte
-	sent      passthrough.Status
-	sentAt    time.Time
-	sentTo    int
+	began     asynclog.Limit
+	late      asynclog.Limit
+	// requests names the requests that wait for an answer, by flow.
+	requests map[core.FlowKey]string
+	now      time.Time
+	buffer   []byte
+	sent     passthrough.Status
+	sentAt   time.Time
+	sentTo   int
 
 	counters   [passthrough.ReasonCount]metrics.Counter
 	sendErrors metrics.Counter
@@ -53,11 +65,17 @@
 		log:        c.lines.Logger(),
 		admitted:   asynclog.Limit{PerSecond: admittedLines},
 		failed:     asynclog.Limit{PerSecond: failedLines},
+		began:      asynclog.Limit{PerSecond: requestLines},
+		late:       asynclog.Limit{PerSecond: lateLines},
+		requests:   make(map[core.FlowKey]string),
 		sendErrors: metrics.GetOrRegisterCounter("packets.notSent", registry),
 		malformed:  metrics.GetOrRegisterCounter("packets.malformed", registry),
 	}
 	served := metrics.GetOrRegisterHistogram("requests.microseconds", registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
-	o.gate.Served = func(took time.Duration) { served.Update(took.Microseconds()) }
+	o.gate.Served = func(key core.FlowKey, took time.Duration) {
+		served.Update(took.Microseconds())
+		o.answered(key, took)
+	}
 	for reason := range o.counters {
 		o.counters[reason] = metrics.GetOrRegisterCounter("packets."+passthrough.Reason(reason).String(), registry)
 	}
@@ -66,6 +84,7 @@
 
 // refresh takes the newest state of the control goroutine.
 func (o *owner) refresh(now time.Time) {
+	o.now = now
 	s := o.companion.state.Load()
 	if s == o.state {
 		return
@@ -171,6 +190,38 @@
 	}
 }
 
+// begins notes the identity of a request for the lines about what becomes of it.
+func (o *owner) begins(now time.Time, a *passthrough.GateAction) {
+	request := o.companion.config.Codec.Request(a.Packet.Data)
+	if len(o.requests) >= maxRequests {
+		clear(o.requests)
+	}
+	o.requests[a.Packet.Key] = request
+	leftOut, ok := o.began.Allow(now)
+	if ok {
+		o.log.Info("request delivered", "request", request, "flow", a.Packet.Key, "server", o.state.target.Server,
+			"running", o.gate.Running(), "slots", o.state.target.Slots, "version", o.gate.Version(), "linesLeftOut", leftOut)
+	}
+}
+
+// answered writes a line about an answer that comes later than callers count on.
+func (o *owner) answered(key core.FlowKey, took time.Duration) {
+	request := o.requests[key]
+	delete(o.requests, key)
+	if o.state.table == nil {
+		return
+	}
+	found := o.state.table.Route(key.Service)
+	if found == nil || took <= found.Objective {
+		return
+	}
+	leftOut, ok := o.late.Allow(o.now)
+	if ok {
+		o.log.Warn("request answered late", "request", request, "flow", key, "took", took, "objective", found.Objective,
+			"server", o.state.target.Server, "running", o.gate.Running(), "slots", o.state.target.Slots, "linesLeftOut", leftOut)
+	}
+}
+
 func (o *owner) giveBack(kind hop.Kind, a *passthrough.GateAction) {
 	o.buffer = hop.AppendEnvelope(o.buffer[:0], hop.Envelope{Kind: kind, Reason: a.Reason, Version: o.gate.Version(), Packet: a.Packet.Data})
 	o.write(o.buffer, a.To)
@@ -202,6 +253,8 @@
 // logAction writes a line for an admitted flow and for what isn't delivered.
 func (o *owner) logAction(now time.Time, a *passthrough.GateAction) {
 	switch {
+	case a.Kind == passthrough.GateDeliver && a.Reason == passthrough.ReasonRequest:
+		o.begins(now, a)
 	case a.Kind == passthrough.GateNote && a.Note.Kind == passthrough.NoteAdmitted:
 		leftOut, ok := o.admitted.Allow(now)
 		if ok {
@@ -211,7 +264,7 @@
 	case a.Kind == passthrough.GateRefuse || a.Kind == passthrough.GateNotHere || a.Kind == passthrough.GateReset:
 		leftOut, ok := o.failed.Allow(now)
 		if ok {
-			o.log.Warn("packet not delivered", "flow", a.Packet.Key, "flags", a.Packet.Flags, "entry", a.To,
+			o.log.Warn("packet not delivered", "flow", a.Packet.Key, "request", o.requests[a.Packet.Key], "flags", a.Packet.Flags, "entry", a.To,
 				"reset", a.Kind == passthrough.GateReset, "reason", a.Reason, "server", o.state.target.Server,
 				"announcementAge", now.Sub(o.state.target.Heard), "version", o.gate.Version(), "linesLeftOut", leftOut)
 		}
--- a/roles/traffic/codec.go
+++ b/roles/traffic/codec.go
@@ -18,6 +18,9 @@
 	Restore(datagram []byte)
 	// Reset returns a reset of the flow, to be sent to the caller.
 	Reset(key core.FlowKey, seq uint32) []byte
+	// Request returns the identity of the request that begins in the packet; empty if
+	// it names none. It is for the log alone.
+	Request(datagram []byte) string
 	// Caller returns the address to which packets for the caller are sent.
 	Caller(key core.FlowKey) netip.AddrPort
 }
