--- a/core/segment.go
+++ b/core/segment.go
@@ -1,5 +1,7 @@
 package core
 
+import "strings"
+
 // TCPFlags holds the control bits of a TCP segment, in the order of the header.
 type TCPFlags uint8
 
@@ -21,3 +23,16 @@
 func (f TCPFlags) Opens() bool {
 	return f&(TCPSyn|TCPAck) == TCPSyn
 }
+
+var flagNames = [...]string{"FIN", "SYN", "RST", "PSH", "ACK"}
+
+// String returns the names of the bits, for example "SYN|ACK".
+func (f TCPFlags) String() string {
+	var names []string
+	for i, name := range flagNames {
+		if f&(1<<i) != 0 {
+			names = append(names, name)
+		}
+	}
+	return strings.Join(names, "|")
+}
--- a/roles/companion/companion.go
+++ b/roles/companion/companion.go
@@ -143,7 +143,7 @@
 	}()
 	<-ctx.Done()
 	c.stopping.Store(true)
-	c.config.Log.Info("leaving", "instance", c.config.Instance, "wait", leaveTime)
+	c.config.Log.Info("leaving", "wait", leaveTime)
 	time.Sleep(leaveTime)
 	stop()
 	<-trafficDone
--- a/roles/control/control.go
+++ b/roles/control/control.go
@@ -115,7 +115,7 @@
 		s.loop.Run(serving, newHandler(serving, s))
 	}()
 	<-ctx.Done()
-	s.config.Log.Info("leaving", "instance", s.config.Instance, "wait", handOverTime)
+	s.config.Log.Info("leaving", "wait", handOverTime)
 	err := s.loop.Send(serving, leave{})
 	time.Sleep(handOverTime)
 	stop()
--- a/roles/entry/entry.go
+++ b/roles/entry/entry.go
@@ -104,7 +104,7 @@
 	}()
 	<-ctx.Done()
 	e.stopping.Store(true)
-	e.config.Log.Info("leaving", "instance", e.config.Instance, "wait", leaveTime)
+	e.config.Log.Info("leaving", "wait", leaveTime)
 	time.Sleep(leaveTime)
 	stop()
 	<-trafficDone
