Take a backend server that started with its companion for one without unknown flows

Each of 3,000 flows of before was sought at 59 companions that had just started, and each let its backend server decide by the packet itself: 30 KB a flow on links of 6 Mbit/s. Ruled out: clumped flows, queues.

Change: a backend server that was born no earlier than its companion, by its first announcements, has no flows that the companion doesn't know.

--- a/passthrough/gate.go
+++ b/passthrough/gate.go
@@ -254,7 +254,7 @@
 
 // knowsAll reports whether every flow of the backend server is known here.
 func (g *Gate) knowsAll(now time.Time) bool {
-	return g.target.Start > 1 || now.Sub(g.started) > g.config.MaxFlowAge
+	return g.target.Younger || now.Sub(g.started) > g.config.MaxFlowAge
 }
 
 // mayHold reports whether the backend server's service may hold the flow.
--- a/passthrough/gate_test.go
+++ b/passthrough/gate_test.go
@@ -34,7 +34,7 @@
 func newBench(t *testing.T) *bench {
 	b := &bench{
 		t: t, g: gomega.NewWithT(t), gate: passthrough.NewGate(start, gateConfig()),
-		registration: passthrough.NewRegistration(gateConfig().AnnouncementLimit), now: start,
+		registration: passthrough.NewRegistration(start, gateConfig().AnnouncementLimit), now: start,
 	}
 	b.gate.SetTable(start, table(1))
 	b.announce(announcement(1))
@@ -284,3 +284,30 @@
 	next.Seq += uint32(next.Length)
 	b.expect(b.send(next), passthrough.GateDeliver, passthrough.ReasonRequest)
 }
+
+// After a full restart every companion let its backend server decide about every
+// flow that was sought; the packets filled the links.
+func TestBackendServerYoungerThanItsCompanionHasNoUnknownFlows(t *testing.T) {
+	for name, c := range map[string]struct {
+		born   time.Time
+		number uint64
+		kind   passthrough.NoteKind
+	}{
+		"started with the machine":    {start.Add(-50 * time.Millisecond), 2, passthrough.NoteAbsent},
+		"started later":               {start.Add(time.Second), 1, passthrough.NoteAbsent},
+		"started earlier":             {start.Add(-time.Second), 2, passthrough.NoteUnsure},
+		"has long run, clock jumped":  {start, 60, passthrough.NoteUnsure},
+		"doesn't say when it started": {time.UnixMilli(0), 1, passthrough.NoteUnsure},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.gate = passthrough.NewGate(start, gateConfig())
+			b.gate.SetTable(start, table(1))
+			b.registration = passthrough.NewRegistration(start, gateConfig().AnnouncementLimit)
+			a := announcement(c.number)
+			a.Born = c.born.UnixMilli()
+			b.announce(a)
+			b.g.Expect(b.gate.Question(b.now, entryAt, flowKey(1))[0].Note.Kind).To(gomega.Equal(c.kind))
+		})
+	}
+}
--- a/passthrough/model_test.go
+++ b/passthrough/model_test.go
@@ -85,7 +85,7 @@
 	config.DataCentre = w.dataCentre(i)
 	c.gate = passthrough.NewGate(w.now, config)
 	c.gate.SetTable(w.now, w.table())
-	c.registration = passthrough.NewRegistration(config.AnnouncementLimit)
+	c.registration = passthrough.NewRegistration(w.now, config.AnnouncementLimit)
 	w.beat(i)
 }
 
--- a/passthrough/target.go
+++ b/passthrough/target.go
@@ -33,6 +33,9 @@
 	Gone bool
 	// Start counts the starts of backend servers that were known here.
 	Start int
+	// Younger says that it started no earlier than this companion, so that all its
+	// flows are known here.
+	Younger bool
 	// ColdUntil is when it will be warm.
 	ColdUntil time.Time
 	// Heard is when it was heard of last.
@@ -43,15 +46,27 @@
 // to the control goroutine.
 type Registration struct {
 	target Target
+	// began is when this companion's process began, by the clock that backend servers
+	// give their start by.
+	began time.Time
 	// limit is how long the known backend server must have been silent before one
 	// that seems older takes its place: clocks jump back.
 	limit time.Duration
 }
 
-// NewRegistration returns a Registration that knows of none. limit is as
-// GateConfig.AnnouncementLimit.
-func NewRegistration(limit time.Duration) *Registration {
-	return &Registration{limit: limit}
+// startSlack is how much earlier than its companion a backend server may have
+// started without any other companion before: both start with their machine. A
+// process that ends alone is started again after more than that.
+const startSlack = 100 * time.Millisecond
+
+// firstAnnouncements is the highest number of an announcement of a backend server
+// that has just started, some of which found no companion yet.
+const firstAnnouncements = 5
+
+// NewRegistration returns a Registration that knows of none, for a process that
+// began at the given time. limit is as GateConfig.AnnouncementLimit.
+func NewRegistration(began time.Time, limit time.Duration) *Registration {
+	return &Registration{began: began, limit: limit}
 }
 
 // Target returns what is known.
@@ -67,7 +82,7 @@
 		return t, false
 	}
 	if !same {
-		t = Target{Known: true, Start: t.Start + 1}
+		t = Target{Known: true, Start: t.Start + 1, Younger: t.Known || r.isYounger(a)}
 	}
 	// A start that has begun to leave doesn't come back.
 	a.Draining = a.Draining || (same && t.Draining)
@@ -80,6 +95,12 @@
 	return t, true
 }
 
+// isYounger reports whether a backend server that announces itself has started no
+// earlier than this companion. Its number tells it from one whose clock has jumped.
+func (r *Registration) isYounger(a Announcement) bool {
+	return a.Number <= firstAnnouncements && !time.UnixMilli(a.Born).Before(r.began.Add(-startSlack))
+}
+
 // Depart takes a backend server's goodbye. It reports false when another one is
 // known here.
 func (r *Registration) Depart(server string) (Target, bool) {
--- a/roles/companion/companion.go
+++ b/roles/companion/companion.go
@@ -35,6 +35,9 @@
 	askTimeout = time.Second
 )
 
+// began is when the process began.
+var began = time.Now()
+
 // ErrOutdated refuses an announcement that a later one has overtaken.
 const ErrOutdated = errors.ConstError("a later start or announcement is known here")
 
@@ -135,7 +138,7 @@
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Post:   func(ctx context.Context, u feed.Update) error { return c.loop.Send(ctx, updated(u)) },
 	})
-	go c.loop.Run(serving, &control{companion: c, registration: passthrough.NewRegistration(c.config.Gate.AnnouncementLimit)})
+	go c.loop.Run(serving, &control{companion: c, registration: passthrough.NewRegistration(began, c.config.Gate.AnnouncementLimit)})
 	trafficDone := make(chan struct{})
 	go func() {
 		defer close(trafficDone)
