Let control look at its callers only when their answer has changed

Change: the list is made after a change, waiting calls are answered in the order they are due or when what is offered changes, and an instance draws its control instance anew every 15 s.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -264,6 +264,9 @@
 	Heard time.Time
 }
 
+// MembershipIndex returns the index of the membership in force.
+func (c *Core) MembershipIndex() Index { return c.log.membershipIndex() }
+
 // Status returns the core's present state.
 func (c *Core) Status() Status {
 	status := Status{
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -145,6 +145,10 @@
 // Status returns the state of the replicated log as this member sees it.
 func (r *Replica) Status() consensus.Status { return r.core.Status() }
 
+// MembershipIndex returns the index of the entry that made the membership in force.
+// It changes with each change of it.
+func (r *Replica) MembershipIndex() consensus.Index { return r.core.MembershipIndex() }
+
 // Leading reports whether this member leads, as far as it knows.
 func (r *Replica) Leading() bool { return r.role == consensus.Leader }
 
--- a/roles/control/handler.go
+++ b/roles/control/handler.go
@@ -36,8 +36,14 @@
 	state   route.State
 	// entries holds when each entry instance was heard of last.
 	entries map[netip.AddrPort]time.Time
+	// changes counts the entry instances that came or went.
+	changes int
 	peers   peerList
-	waiters []waiter
+	// listed is what peers was made of, so that it is made again only after a change.
+	listed listedPeers
+	// waiters are ordered by due; answered is what those that wait have.
+	waiters  []waiter
+	answered offer
 	// now is the time of the event in hand.
 	now time.Time
 	// lagging is since when less is applied than is committed; zero if it isn't.
@@ -53,6 +59,21 @@
 	digest            uint64
 }
 
+// listedPeers tells whether the instances known have changed.
+type listedPeers struct {
+	// changes counts the entry instances that came or went.
+	changes    int
+	membership consensus.Index
+}
+
+// offer is what an instance can be told at a moment. While it stays the same, only
+// the calls that have waited long enough are answered.
+type offer struct {
+	current  bool
+	revision core.Revision
+	digest   uint64
+}
+
 // waiter is a call that waits for a change.
 type waiter struct {
 	request wire.SyncRequest
@@ -77,10 +98,8 @@
 	if h.replica != nil && h.replica.Deadline().Before(due) {
 		due = h.replica.Deadline()
 	}
-	for _, w := range h.waiters {
-		if w.due.Before(due) {
-			due = w.due
-		}
+	if len(h.waiters) > 0 && h.waiters[0].due.Before(due) {
+		due = h.waiters[0].due
 	}
 	return due, true
 }
@@ -110,13 +129,34 @@
 	}
 	h.followLag()
 	h.listPeers()
-	h.waiters = slices.DeleteFunc(h.waiters, func(w waiter) bool {
-		if h.unchanged(w.request) && now.Before(w.due) {
-			return false
-		}
-		w.reply.Answer(h.syncReply(w.request))
-		return true
-	})
+	h.answerWaiters(now)
+}
+
+// answerWaiters answers the calls that have waited long enough, and all whose
+// answer has changed.
+func (h *handler) answerWaiters(now time.Time) {
+	offered := offer{current: h.current(), revision: h.state.Revision, digest: h.peers.digest}
+	if offered != h.answered {
+		h.answered = offered
+		h.waiters = slices.DeleteFunc(h.waiters, func(w waiter) bool {
+			if offered.has(w.request) {
+				return false
+			}
+			w.reply.Answer(h.syncReply(w.request))
+			return true
+		})
+	}
+	overdue := 0
+	for overdue < len(h.waiters) && !now.Before(h.waiters[overdue].due) {
+		h.waiters[overdue].reply.Answer(h.syncReply(h.waiters[overdue].request))
+		overdue++
+	}
+	h.waiters = slices.Delete(h.waiters, 0, overdue)
+}
+
+// has reports whether a caller has what is offered.
+func (o offer) has(request wire.SyncRequest) bool {
+	return o.current && request.Revision >= o.revision && request.Peers == o.digest
 }
 
 func (h *handler) measure() {
@@ -152,10 +192,6 @@
 	}
 }
 
-func (h *handler) unchanged(request wire.SyncRequest) bool {
-	return h.current() && request.Revision >= h.state.Revision && request.Peers == h.peers.digest
-}
-
 func (h *handler) syncReply(request wire.SyncRequest) wire.SyncReply {
 	reply := wire.SyncReply{Behind: !h.current(), Peers: h.peers.digest}
 	if reply.Behind && request.Revision > 0 {
@@ -173,6 +209,14 @@
 
 // listPeers brings the list of entry and control instances up to date.
 func (h *handler) listPeers() {
+	now := listedPeers{changes: h.changes}
+	if h.replica != nil {
+		now.membership = h.replica.MembershipIndex()
+	}
+	if now == h.listed {
+		return
+	}
+	h.listed = now
 	var list peerList
 	for address := range h.entries {
 		list.entries = append(list.entries, address.String())
@@ -198,6 +242,7 @@
 	for address, heard := range h.entries {
 		if now.Sub(heard) > entryLimit {
 			delete(h.entries, address)
+			h.changes++
 			h.server.config.Log.Info("entry instance no longer heard of", "entry", address, "silent", now.Sub(heard))
 		}
 	}
@@ -293,10 +338,12 @@
 }
 
 func (e syncQuestion) handle(h *handler, now time.Time) {
-	h.waiters = append(h.waiters, waiter{request: e.request, reply: e.reply, due: now.Add(feed.Wait)})
-	if !h.current() {
-		h.waiters[len(h.waiters)-1].due = now
+	offered := offer{current: h.current(), revision: h.state.Revision, digest: h.peers.digest}
+	if !offered.has(e.request) {
+		e.reply.Answer(h.syncReply(e.request))
+		return
 	}
+	h.waiters = append(h.waiters, waiter{request: e.request, reply: e.reply, due: now.Add(feed.Wait)})
 }
 
 // heard is an entry instance's hello.
@@ -306,6 +353,7 @@
 	_, known := h.entries[e.entry]
 	h.entries[e.entry] = now
 	if !known {
+		h.changes++
 		h.server.config.Log.Info("entry instance heard of", "entry", e.entry)
 	}
 }
--- a/roles/feed/feed.go
+++ b/roles/feed/feed.go
@@ -22,6 +22,9 @@
 	// callTimeout is how long an answer may take before the control instance or
 	// the connection to it is given up: twice the wait.
 	callTimeout = 2 * Wait
+	// stay is how long one control instance is asked before another is drawn, so that
+	// the load spreads again after some were down.
+	stay = 15 * time.Second
 	// pauseMin and pauseMax bound the pause after a failed call.
 	pauseMin = 50 * time.Millisecond
 	pauseMax = 150 * time.Millisecond
@@ -58,6 +61,7 @@
 	request  wire.SyncRequest
 	client   *wire.Client
 	at       netip.AddrPort
+	since    time.Time
 	pause    time.Duration
 	lost     bool
 }
@@ -91,7 +95,7 @@
 	f.config.Log.Info("control instances", "reached", !f.lost, "at", f.at, "revision", f.request.Revision, "error", err)
 }
 
-// moveOn picks another control instance.
+// moveOn has another control instance asked next.
 func (f *feed) moveOn() {
 	if f.client != nil {
 		f.client.Close()
@@ -100,7 +104,11 @@
 }
 
 func (f *feed) ask(ctx context.Context) error {
+	if f.client != nil && time.Since(f.since) > stay {
+		f.moveOn()
+	}
 	if f.client == nil {
+		f.since = time.Now()
 		f.at = f.next()
 		f.client = wire.NewClient(f.at)
 	}
