--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -15,6 +15,7 @@
 	"zinniapulley.dev/consensus"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/durable"
+	"zinniapulley.dev/durable/durabletest"
 	"zinniapulley.dev/loop"
 	"zinniapulley.dev/replica"
 	"zinniapulley.dev/wire"
@@ -30,29 +31,6 @@
 	return nil
 }
 
-// stallingDisk is a disk whose syncs wait while it is stalled.
-type stallingDisk struct {
-	durable.Disk
-	stalled *atomic.Bool
-}
-
-type stallingFile struct {
-	durable.File
-	stalled *atomic.Bool
-}
-
-func (d stallingDisk) Create(name string) (durable.File, error) {
-	file, err := d.Disk.Create(name)
-	return stallingFile{file, d.stalled}, err
-}
-
-func (f stallingFile) Sync() error {
-	for f.stalled.Load() {
-		time.Sleep(5 * time.Millisecond)
-	}
-	return f.File.Sync()
-}
-
 // member runs one replica with its own control goroutine and RPC server.
 type member struct {
 	machine *register
@@ -104,7 +82,7 @@
 func startMember(t *testing.T, ctx context.Context, server *wire.Server, voters []consensus.Member, i int) *member {
 	t.Helper()
 	m := &member{machine: &register{}, loop: loop.New[func(*member, time.Time)](256)}
-	folder, _, err := durable.Open(stallingDisk{stalled: &m.stalled}, t.TempDir())
+	folder, _, err := durable.Open(durabletest.StallingDisk{Stalled: &m.stalled}, t.TempDir())
 	if err == nil {
 		err = folder.Begin(durable.Base{Self: voters[i].ID, Stored: consensus.NewGroup(voters)})
 	}
--- a/roles/companion/companion.go
+++ b/roles/companion/companion.go
@@ -131,25 +131,24 @@
 // Run serves until ctx is done, and then until the running requests are answered
 // or the time for it is over.
 func (c *Companion) Run(ctx context.Context) error {
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	go feed.Run(serving, feed.Config{
-		Instance: c.config.Instance, Seeds: c.config.Seeds, Log: c.config.Log,
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Post:   func(ctx context.Context, u feed.Update) error { return c.loop.Send(ctx, updated(u)) },
+	traffic.Serve(ctx, traffic.Parts{
+		Feed: func(ctx context.Context) {
+			feed.Run(ctx, feed.Config{
+				Instance: c.config.Instance, Seeds: c.config.Seeds, Log: c.config.Log,
+				Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+				Post:   func(ctx context.Context, u feed.Update) error { return c.loop.Send(ctx, updated(u)) },
+			})
+		},
+		Control: func(ctx context.Context) {
+			c.loop.Run(ctx, &control{companion: c, registration: passthrough.NewRegistration(began, c.config.Gate.AnnouncementLimit)})
+		},
+		Packets: func(ctx context.Context) { traffic.Run(ctx, newOwner(c), tickInterval, c.peers, c.outbound) },
+		Leaving: func() {
+			c.stopping.Store(true)
+			c.config.Log.Info("leaving", "wait", leaveTime)
+		},
+		Leave: leaveTime,
 	})
-	go c.loop.Run(serving, &control{companion: c, registration: passthrough.NewRegistration(began, c.config.Gate.AnnouncementLimit)})
-	trafficDone := make(chan struct{})
-	go func() {
-		defer close(trafficDone)
-		traffic.Run(serving, newOwner(c), tickInterval, c.peers, c.outbound)
-	}()
-	<-ctx.Done()
-	c.stopping.Store(true)
-	c.config.Log.Info("leaving", "wait", leaveTime)
-	time.Sleep(leaveTime)
-	stop()
-	<-trafficDone
 	c.lines.Close()
 	return nil
 }
--- a/roles/control/control_test.go
+++ b/roles/control/control_test.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/durable"
+	"zinniapulley.dev/durable/durabletest"
 	"zinniapulley.dev/roles/control"
 	"zinniapulley.dev/route"
 	"zinniapulley.dev/wire"
@@ -48,7 +49,7 @@
 	}
 	for _, seed := range g.seeds {
 		g.stalled = append(g.stalled, &atomic.Bool{})
-		g.servers = append(g.servers, g.start(seed, t.TempDir(), true, stallingDisk{stalled: g.stalled[len(g.stalled)-1]}))
+		g.servers = append(g.servers, g.start(seed, t.TempDir(), true, durabletest.StallingDisk{Stalled: g.stalled[len(g.stalled)-1]}))
 	}
 	return g
 }
@@ -72,29 +73,6 @@
 	return server
 }
 
-// stallingDisk is a disk whose syncs wait while it is stalled.
-type stallingDisk struct {
-	durable.Disk
-	stalled *atomic.Bool
-}
-
-type stallingFile struct {
-	durable.File
-	stalled *atomic.Bool
-}
-
-func (d stallingDisk) Create(name string) (durable.File, error) {
-	file, err := d.Disk.Create(name)
-	return stallingFile{file, d.stalled}, err
-}
-
-func (f stallingFile) Sync() error {
-	for f.stalled.Load() {
-		time.Sleep(5 * time.Millisecond)
-	}
-	return f.File.Sync()
-}
-
 func configuration(version uint64) route.Configuration {
 	return route.Configuration{Version: version, Source: []byte{byte(version)}}
 }
--- a/roles/entry/entry.go
+++ b/roles/entry/entry.go
@@ -89,25 +89,24 @@
 
 // Run serves until ctx is done, and then until callers' packets go elsewhere.
 func (e *Entry) Run(ctx context.Context) error {
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	go feed.Run(serving, feed.Config{
-		Instance: e.config.Instance, Seeds: e.config.Seeds, Log: e.config.Log,
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Post:   func(ctx context.Context, u feed.Update) error { return e.loop.Send(ctx, updated(u)) },
+	traffic.Serve(ctx, traffic.Parts{
+		Feed: func(ctx context.Context) {
+			feed.Run(ctx, feed.Config{
+				Instance: e.config.Instance, Seeds: e.config.Seeds, Log: e.config.Log,
+				Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+				Post:   func(ctx context.Context, u feed.Update) error { return e.loop.Send(ctx, updated(u)) },
+			})
+		},
+		Control: func(ctx context.Context) {
+			e.loop.Run(ctx, &control{entry: e, controls: e.config.Seeds()})
+		},
+		Packets: func(ctx context.Context) { traffic.Run(ctx, newOwner(e), tickInterval, e.callers, e.peers) },
+		Leaving: func() {
+			e.stopping.Store(true)
+			e.config.Log.Info("leaving", "wait", leaveTime)
+		},
+		Leave: leaveTime,
 	})
-	go e.loop.Run(serving, &control{entry: e, controls: e.config.Seeds()})
-	trafficDone := make(chan struct{})
-	go func() {
-		defer close(trafficDone)
-		traffic.Run(serving, newOwner(e), tickInterval, e.callers, e.peers)
-	}()
-	<-ctx.Done()
-	e.stopping.Store(true)
-	e.config.Log.Info("leaving", "wait", leaveTime)
-	time.Sleep(leaveTime)
-	stop()
-	<-trafficDone
 	e.lines.Close()
 	return nil
 }
--- a/roles/feed/feed.go
+++ b/roles/feed/feed.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/juju/errors"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/route"
 	"zinniapulley.dev/wire"
@@ -30,6 +31,10 @@
 	pauseMax = 150 * time.Millisecond
 )
 
+// errBehind reports a control instance that can't be sure to have what is in
+// force.
+const errBehind = errors.ConstError("the control instance has lost its leader")
+
 // Update is what an answer brought.
 type Update struct {
 	// Confirmed is when the answer was asked for: what is in force is at least as
