--- a/roles/systemtest/system_test.go
+++ b/roles/systemtest/system_test.go
@@ -17,6 +17,7 @@
 	"zinniapulley.dev/roles/control"
 	"zinniapulley.dev/roles/entry"
 	"zinniapulley.dev/route"
+	"zinniapulley.dev/standin/packets"
 )
 
 // Ports of the test's deployment, and the time within which it must settle.
@@ -52,8 +53,8 @@
 	controls   []*process[*control.Server]
 	entries    []*process[*entry.Entry]
 	companions []*process[*companion.Companion]
-	servers    []*server
-	caller     *caller
+	servers    []*packets.Server
+	caller     *packets.Caller
 	number     uint64
 }
 
@@ -90,7 +91,7 @@
 // north and south by turns.
 func start(t *testing.T, servers int) *system {
 	t.Helper()
-	s := &system{t: t, g: gomega.NewWithT(t), caller: startCaller(t, at(groupCaller, 1, callerPort))}
+	s := &system{t: t, g: gomega.NewWithT(t), caller: startCaller(t)}
 	for i := range byte(3) {
 		s.seeds = append(s.seeds, at(groupControl, i+1, internalPort))
 		s.folders = append(s.folders, t.TempDir())
@@ -102,7 +103,7 @@
 		s.entries = append(s.entries, s.startEntry(i))
 	}
 	for i := range byte(servers) {
-		s.servers = append(s.servers, startServer(t, dataCentre(i)+string('0'+i), at(groupCompanion, i+1, serverPort), at(groupCompanion, i+1, outboundPort)))
+		s.servers = append(s.servers, startServer(t, i))
 		s.companions = append(s.companions, s.startCompanion(i))
 	}
 	s.order(func() error {
@@ -116,6 +117,27 @@
 
 func (s *system) known() []netip.AddrPort { return s.seeds }
 
+func startCaller(t *testing.T) *packets.Caller {
+	t.Helper()
+	c, err := packets.NewCaller(at(groupCaller, 1, callerPort))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func startServer(t *testing.T, i byte) *packets.Server {
+	t.Helper()
+	s, err := packets.NewServer(dataCentre(i)+string('0'+i), at(groupCompanion, i+1, serverPort), at(groupCompanion, i+1, outboundPort))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	go s.Run()
+	return s
+}
+
 func dataCentre(server byte) string {
 	return []string{"north", "south"}[server%2]
 }
@@ -164,7 +186,7 @@
 	s.number++
 	for i, c := range s.companions {
 		err := c.role.Announce(context.Background(), passthrough.Announcement{
-			Server: s.servers[i].name, Service: "feed", DataCentre: core.DataCentre(dataCentre(byte(i))),
+			Server: s.servers[i].Name, Service: "feed", DataCentre: core.DataCentre(dataCentre(byte(i))),
 			Born: 1, Number: s.number, Slots: 100, Draining: draining[i],
 		})
 		s.g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -181,11 +203,11 @@
 func (s *system) reachable() int {
 	seen := map[string]bool{}
 	for range 40 {
-		f, err := s.caller.open(feedAddress, entryAt(0))
+		f, err := s.caller.Open(feedAddress, entryAt(0))
 		if err != nil {
 			return 0
 		}
-		name, err := f.ask()
+		name, err := f.Ask()
 		if err == nil {
 			seen[name] = true
 		}
@@ -194,13 +216,13 @@
 }
 
 // openAll opens flows until each backend server has one, and returns them by name.
-func (s *system) openAll() map[string]*flow {
+func (s *system) openAll() map[string]*packets.Flow {
 	s.t.Helper()
-	flows := map[string]*flow{}
+	flows := map[string]*packets.Flow{}
 	s.g.Eventually(func() int {
-		f, err := s.caller.open(feedAddress, entryAt(0), entryAt(1))
+		f, err := s.caller.Open(feedAddress, entryAt(0), entryAt(1))
 		if err == nil {
-			name, err := f.ask()
+			name, err := f.Ask()
 			if err == nil {
 				flows[name] = f
 			}
@@ -211,11 +233,11 @@
 }
 
 // expectAlive checks that each flow is still answered by its own backend server.
-func (s *system) expectAlive(flows map[string]*flow) {
+func (s *system) expectAlive(flows map[string]*packets.Flow) {
 	s.t.Helper()
 	for name, f := range flows {
 		for range 3 {
-			answered, err := f.ask()
+			answered, err := f.Ask()
 			s.g.Expect(err).NotTo(gomega.HaveOccurred(), name)
 			s.g.Expect(answered).To(gomega.Equal(name))
 		}
@@ -232,9 +254,9 @@
 	// One backend server drains.
 	s.announceAll(map[int]bool{0: true})
 	s.expectAlive(flows)
-	opened := s.servers[0].opened.Load()
+	opened := s.servers[0].Opened()
 	s.g.Expect(s.reachable()).To(gomega.Equal(3))
-	s.g.Expect(s.servers[0].opened.Load()).To(gomega.Equal(opened), "a draining backend server gets no new flow")
+	s.g.Expect(s.servers[0].Opened()).To(gomega.Equal(opened), "a draining backend server gets no new flow")
 
 	// A data centre is taken out.
 	s.order(func() error {
@@ -255,23 +277,23 @@
 
 func TestFlowRefusedByOneIsTakenByAnother(t *testing.T) {
 	s := start(t, 2)
-	s.servers[0].refuses.Store(true)
+	s.servers[0].Refuses.Store(true)
 	for range 20 {
-		f, err := s.caller.open(feedAddress, entryAt(0))
+		f, err := s.caller.Open(feedAddress, entryAt(0))
 		s.g.Expect(err).NotTo(gomega.HaveOccurred())
-		name, err := f.ask()
+		name, err := f.Ask()
 		s.g.Expect(err).NotTo(gomega.HaveOccurred())
-		s.g.Expect(name).To(gomega.Equal(s.servers[1].name))
+		s.g.Expect(name).To(gomega.Equal(s.servers[1].Name))
 	}
-	s.servers[1].refuses.Store(true)
-	_, err := s.caller.open(feedAddress, entryAt(0))
-	s.g.Expect(err).To(gomega.Equal(errReset), "no backend server takes it")
+	s.servers[1].Refuses.Store(true)
+	_, err := s.caller.Open(feedAddress, entryAt(0))
+	s.g.Expect(err).To(gomega.Equal(packets.ErrReset), "no backend server takes it")
 }
 
 func TestUnknownRouteIsRefusedAtOnce(t *testing.T) {
 	s := start(t, 1)
-	_, err := s.caller.open(netip.MustParseAddrPort("198.18.0.9:443"), entryAt(0))
-	s.g.Expect(err).To(gomega.Equal(errReset))
+	_, err := s.caller.Open(netip.MustParseAddrPort("198.18.0.9:443"), entryAt(0))
+	s.g.Expect(err).To(gomega.Equal(packets.ErrReset))
 }
 
 // All control instances are started again: what was accepted is still there, and
@@ -281,7 +303,7 @@
 	for _, c := range s.controls {
 		c.stop()
 	}
-	_, err := s.caller.open(feedAddress, entryAt(0))
+	_, err := s.caller.Open(feedAddress, entryAt(0))
 	s.g.Expect(err).NotTo(gomega.HaveOccurred())
 	for i := range s.controls {
 		s.controls[i] = s.startControl(i, false)
--- /dev/null
+++ b/standin/packets/packets.go
@@ -0,0 +1,253 @@
+// Package packets has backend servers and callers that speak the platform's packets
+// over UDP, for tests of whole deployments.
+package packets
+
+import (
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"zinniapulley.dev/core"
+)
+
+// Flags of the platform's packets, by their published bits.
+const (
+	flagAck      = 4
+	flagSyn      = 16
+	flagReset    = 2
+	flagReturned = 128
+)
+
+const (
+	headerBytes = 36
+	offsetFlags = 30
+	// maxPacket is the most bytes of a packet.
+	maxPacket = 2048
+	// maxAhead is how far an acknowledgement may be ahead of a flow's first sequence
+	// number.
+	maxAhead = 100_000
+	// firstPort is the port of a caller's first flow.
+	firstPort = 40000
+)
+
+// packet builds a packet of the published layout.
+func packet(from, to netip.AddrPort, flags byte, seq, ack uint32, data string) []byte {
+	p := make([]byte, headerBytes, headerBytes+len(data))
+	binary.BigEndian.PutUint16(p[0:], uint16(len(data)))
+	source, dest := from.Addr().As4(), to.Addr().As4()
+	copy(p[6:], source[:])
+	binary.BigEndian.PutUint16(p[10:], to.Port())
+	binary.BigEndian.PutUint16(p[12:], from.Port())
+	copy(p[14:], dest[:])
+	binary.BigEndian.PutUint32(p[22:], seq)
+	binary.BigEndian.PutUint32(p[26:], ack)
+	p[offsetFlags] = flags
+	return append(p, data...)
+}
+
+func seqOf(p []byte) uint32 { return binary.BigEndian.Uint32(p[22:]) }
+func ackOf(p []byte) uint32 { return binary.BigEndian.Uint32(p[26:]) }
+
+func endsOf(p []byte) (source, dest netip.AddrPort) {
+	source = netip.AddrPortFrom(netip.AddrFrom4([4]byte(p[6:10])), binary.BigEndian.Uint16(p[12:]))
+	dest = netip.AddrPortFrom(netip.AddrFrom4([4]byte(p[14:18])), binary.BigEndian.Uint16(p[10:]))
+	return source, dest
+}
+
+// Server is a backend server: it answers each packet with data with its name, and
+// gives back what it doesn't hold.
+type Server struct {
+	Name     string
+	conn     *net.UDPConn
+	outbound netip.AddrPort
+	// Refuses says that it takes no new flow.
+	Refuses atomic.Bool
+	// Opening is called with each opening packet of a new flow, if set.
+	Opening func(service netip.AddrPort)
+	opened  atomic.Int64
+	lock    sync.Mutex
+	// flows holds the first sequence number of each flow, by caller.
+	flows map[netip.AddrPort]uint32
+	seq   uint32
+}
+
+// NewServer returns a server that takes packets at an address and sends its own to
+// another. It answers once Run runs.
+func NewServer(name string, at, outbound netip.AddrPort) (*Server, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, core.At("listen", core.Peer(at.String()), err)
+	}
+	seq := uint32(outbound.Addr().As4()[3]) << 24
+	return &Server{Name: name, conn: conn, outbound: outbound, flows: map[netip.AddrPort]uint32{}, seq: seq}, nil
+}
+
+// Close ends the server.
+func (s *Server) Close() { _ = s.conn.Close() }
+
+// Opened returns how many flows were opened.
+func (s *Server) Opened() int64 { return s.opened.Load() }
+
+// Holds reports whether a caller's flow is held.
+func (s *Server) Holds(caller netip.AddrPort) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	_, known := s.flows[caller]
+	return known
+}
+
+// Forget drops all flows, as a start again does.
+func (s *Server) Forget() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	clear(s.flows)
+}
+
+// Run answers until the server is closed.
+func (s *Server) Run() {
+	buffer := make([]byte, maxPacket)
+	for {
+		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil && n >= headerBytes {
+			s.take(buffer[:n])
+		}
+	}
+}
+
+// take answers one packet.
+func (s *Server) take(p []byte) {
+	caller, service := endsOf(p)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	first, known := s.flows[caller]
+	opens := p[offsetFlags]&flagSyn != 0
+	switch {
+	case opens && (known || !s.Refuses.Load()):
+		if !known {
+			first = s.open(caller, service)
+		}
+		s.send(packet(service, caller, flagSyn|flagAck, first, seqOf(p)+1, ""))
+	case known && !opens && ackOf(p)-first < maxAhead:
+		if len(p) > headerBytes {
+			s.send(packet(service, caller, flagAck, first+1, seqOf(p)+uint32(len(p)-headerBytes), s.Name))
+		}
+	default:
+		p[offsetFlags] |= flagReturned
+		s.send(p)
+	}
+}
+
+func (s *Server) open(caller, service netip.AddrPort) uint32 {
+	s.seq += 1000
+	s.flows[caller] = s.seq
+	s.opened.Add(1)
+	if s.Opening != nil {
+		s.Opening(service)
+	}
+	return s.seq
+}
+
+func (s *Server) send(p []byte) {
+	_, _ = s.conn.WriteToUDPAddrPort(p, s.outbound)
+}
+
+// Caller opens flows. It belongs to one goroutine.
+type Caller struct {
+	conn *net.UDPConn
+	self netip.Addr
+	port uint16
+}
+
+// NewCaller returns a caller at an address, whose port is that of all callers.
+func NewCaller(at netip.AddrPort) (*Caller, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	return &Caller{conn: conn, self: at.Addr(), port: firstPort}, core.At("listen", core.Peer(at.String()), err)
+}
+
+// Close ends the caller.
+func (c *Caller) Close() { _ = c.conn.Close() }
+
+// Flow is an open flow of a caller.
+type Flow struct {
+	Key     core.FlowKey
+	caller  *Caller
+	acked   uint32
+	entries []netip.AddrPort
+	turn    int
+}
+
+// ErrReset reports a reset, ErrSilent that no answer came to any try.
+const (
+	ErrReset  = errors.ConstError("the flow was reset")
+	ErrSilent = errors.ConstError("no answer came")
+)
+
+// repeatAfter is how long a caller waits before it repeats a packet, tries how
+// often it sends it in all.
+const (
+	repeatAfter = 200 * time.Millisecond
+	tries       = 12
+)
+
+// Open opens a flow through the entry instances in turn.
+func (c *Caller) Open(service netip.AddrPort, entries ...netip.AddrPort) (*Flow, error) {
+	c.port++
+	f := &Flow{caller: c, Key: core.FlowKey{Caller: netip.AddrPortFrom(c.self, c.port), Service: service}, entries: entries}
+	answer, err := f.exchange(flagSyn, 100, 0, "")
+	if err != nil {
+		return nil, err
+	}
+	f.acked = seqOf(answer) + 1
+	return f, nil
+}
+
+// Ask sends a request on the flow and returns the name of the server that answers.
+func (f *Flow) Ask() (string, error) {
+	answer, err := f.exchange(flagAck, 101, f.acked, "request")
+	if err != nil {
+		return "", err
+	}
+	return string(answer[headerBytes:]), nil
+}
+
+// exchange sends a packet, again and again, until an answer of the flow comes.
+func (f *Flow) exchange(flags byte, seq, ack uint32, data string) ([]byte, error) {
+	sent := packet(f.Key.Caller, f.Key.Service, flags, seq, ack, data)
+	buffer := make([]byte, maxPacket)
+	for range tries {
+		entry := f.entries[f.turn%len(f.entries)]
+		f.turn++
+		_, err := f.caller.conn.WriteToUDPAddrPort(sent, entry)
+		if err != nil {
+			return nil, err
+		}
+		end := time.Now().Add(repeatAfter)
+		_ = f.caller.conn.SetReadDeadline(end)
+		for {
+			n, _, err := f.caller.conn.ReadFromUDPAddrPort(buffer)
+			if err != nil {
+				break
+			}
+			answer := buffer[:n]
+			service, to := endsOf(answer)
+			wrongKind := (flags == flagSyn) != (answer[offsetFlags]&flagSyn != 0)
+			if to != f.Key.Caller || service != f.Key.Service {
+				continue
+			}
+			if answer[offsetFlags]&flagReset != 0 {
+				return nil, ErrReset
+			}
+			if !wrongKind && (data == "" || n > headerBytes) {
+				return append([]byte(nil), answer...), nil
+			}
+		}
+	}
+	return nil, ErrSilent
+}
