--- /dev/null
+++ b/cmd/zinniapulley/soak_test.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"zinniapulley.dev/soak"
+)
+
+// soakSeeds are the seeds of the short run; each seed that ever broke a promise is
+// added, with its cause.
+var soakSeeds = []uint64{1, 2}
+
+// TestShortSoak runs real processes under faults. ./soak/run plays more seeds.
+func TestShortSoak(t *testing.T) {
+	for _, seed := range soakSeeds {
+		report, err := soak.Run(t.Context(), soak.Options{
+			Seed: seed, Length: 6 * time.Second, Command: []string{os.Args[0]}, Environment: []string{runAsCommand + "=1"},
+			Network: 60, Folder: t.TempDir(),
+		})
+		g := gomega.NewWithT(t)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Log(report)
+		g.Expect(report.Violations).To(gomega.BeEmpty())
+		g.Expect(report.Requests).To(gomega.BeNumerically(">", 0))
+	}
+}
--- /dev/null
+++ b/soak/run/main.go
@@ -0,0 +1,55 @@
+// Command run plays seeds of the fault soak against the real program.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/juju/errors"
+	"zinniapulley.dev/soak"
+)
+
+type commands struct {
+	Binary string        `help:"The program." default:"target/zinniapulley" type:"existingfile"`
+	First  uint64        `help:"First seed." default:"1"`
+	Seeds  int           `help:"How many seeds." default:"10"`
+	Length time.Duration `help:"How long faults are injected in each." default:"15s"`
+	Folder string        `help:"Folder for settings, data and logs." default:"target/soak"`
+	Net    byte          `help:"Third number of the first of five loopback networks to use." default:"40"`
+}
+
+// Run plays the seeds one after the other.
+func (c *commands) Run() error {
+	broken := 0
+	for i := range c.Seeds {
+		seed := c.First + uint64(i)
+		folder := filepath.Join(c.Folder, fmt.Sprint(seed))
+		err := os.RemoveAll(folder)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		report, err := soak.Run(context.Background(), soak.Options{
+			Seed: seed, Length: c.Length, Command: []string{c.Binary}, Network: c.Net, Folder: folder,
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Println(report)
+		if len(report.Violations) > 0 {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return errors.Errorf("%d of %d seeds broke a promise; logs are in %s", broken, c.Seeds, c.Folder)
+	}
+	return nil
+}
+
+func main() {
+	ctx := kong.Parse(&commands{}, kong.Name("soak"), kong.Description("Plays seeds of the fault soak."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
