Reset a flow only when every companion that may hold it has been heard of

Ruled out: the companions' own answers.

Change: control keeps the list of companions that may hold flows in the replicated state, from their hellos; a search isn't complete before all on it were heard of; a companion without a service may hold any flow.

--- a/cmd/zinniapulley/soak_test.go
+++ b/cmd/zinniapulley/soak_test.go
@@ -11,13 +11,21 @@
 
 // soakSeeds are the seeds of the short run; each seed that ever broke a promise is
 // added, with its cause.
-var soakSeeds = []uint64{1, 2}
+var soakSeeds = []uint64{
+	1, 2,
+	// Flows were reset while their companions were down: an entry instance took the
+	// companions that it had heard of for all of them.
+	106,
+	// Flows were reset by entry instances that passed over a companion which had just
+	// started and named no service yet.
+	103,
+}
 
 // TestShortSoak runs real processes under faults. ./soak/run plays more seeds.
 func TestShortSoak(t *testing.T) {
 	for _, seed := range soakSeeds {
 		report, err := soak.Run(t.Context(), soak.Options{
-			Seed: seed, Length: 6 * time.Second, Command: []string{os.Args[0]}, Environment: []string{runAsCommand + "=1"},
+			Seed: seed, Length: 10 * time.Second, Command: []string{os.Args[0]}, Environment: []string{runAsCommand + "=1"},
 			Network: 60, Folder: t.TempDir(),
 		})
 		g := gomega.NewWithT(t)
--- a/passthrough/dispatcher_test.go
+++ b/passthrough/dispatcher_test.go
@@ -334,3 +334,34 @@
 		g.Expect(actions[0].Kind).To(gomega.Equal(wanted))
 	}
 }
+
+// After a fault that took entry instances and companions, an entry instance knew one
+// companion, which didn't have the flow, and reset flows of the others.
+func TestCompanionThatIsStillDownMayHoldTheFlow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(1)
+	listed := *table(2).View
+	listed.Companions = []netip.AddrPort{companionAt(1), companionAt(2)}
+	d.SetTable(route.Compile(&listed))
+	absent := passthrough.Note{Kind: passthrough.NoteAbsent, Key: flowKey(1)}
+	d.Handle(start, data(1, 5001))
+	g.Expect(targets(d.Note(start, companionAt(1), absent), passthrough.DispatchReset)).To(gomega.BeEmpty())
+	d.Status(start, statusOf(2))
+	d.Handle(start.Add(200*time.Millisecond), data(1, 5001))
+	d.Note(start.Add(200*time.Millisecond), companionAt(1), absent)
+	g.Expect(targets(d.Note(start.Add(200*time.Millisecond), companionAt(2), absent), passthrough.DispatchReset)).To(gomega.HaveLen(1))
+}
+
+// A companion that had just started named no service, was passed over by the search,
+// and flows of its backend server were reset (soak, seeds 103 and 106).
+func TestCompanionWithoutAServiceMayHoldTheFlow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(1)
+	started := statusOf(2)
+	started.Service, started.Ready = "", false
+	d.Status(start, started)
+	asked := targets(d.Handle(start, data(1, 5001)), passthrough.DispatchQuestion)
+	g.Expect(asked).To(gomega.ConsistOf(companionAt(1), companionAt(2)))
+	absent := passthrough.Note{Kind: passthrough.NoteAbsent, Key: flowKey(1)}
+	g.Expect(targets(d.Note(start, companionAt(1), absent), passthrough.DispatchReset)).To(gomega.BeEmpty())
+}
--- a/passthrough/search.go
+++ b/passthrough/search.go
@@ -20,7 +20,8 @@
 	// searchSpan is how long the answers to a search count.
 	searchSpan = time.Second
 	// completeAfter is how long after its start an entry instance has heard of
-	// every companion that runs: three intervals between their statuses.
+	// every companion that runs: three intervals between their statuses. A companion
+	// that has just started may not be listed yet.
 	completeAfter = time.Second
 	// maxQuestions is the most questions in one second: about 2 Mbit/s.
 	maxQuestions = 4000
@@ -91,7 +92,8 @@
 }
 
 // holders returns the companions whose backend servers may hold a flow, in the
-// flow's order: all of them, or the first ones.
+// flow's order: all of them, or the first ones. A companion that has just started
+// doesn't know yet what its backend server serves.
 func (d *Dispatcher) holders(key core.FlowKey, wide bool) []*companion {
 	var found *route.Route
 	if d.table != nil {
@@ -99,7 +101,8 @@
 	}
 	d.ranked = d.ranked[:0]
 	for _, c := range d.companions {
-		if !c.status.Departed && (found == nil || found.MayHold(c.status.Service)) {
+		unknown := c.status.Service == ""
+		if !c.status.Departed && (found == nil || unknown || found.MayHold(c.status.Service)) {
 			d.ranked = append(d.ranked, c)
 		}
 	}
@@ -170,7 +173,7 @@
 			return
 		}
 	}
-	if flow.closing || d.table == nil || d.table.Route(key.Service) == nil || now.Sub(d.started) < completeAfter {
+	if flow.closing || d.table == nil || d.table.Route(key.Service) == nil || now.Sub(d.started) < completeAfter || !d.knowsAll() {
 		return
 	}
 	if len(s.absent) == 0 {
@@ -182,6 +185,17 @@
 	d.out = append(d.out, Dispatch{Kind: DispatchReset, Reason: ReasonFlowLost, Packet: &Packet{Key: key}, ResetSeq: ack})
 }
 
+// knowsAll reports whether every companion that may hold flows has been heard of
+// since the start.
+func (d *Dispatcher) knowsAll() bool {
+	for _, address := range d.table.View.Companions {
+		if _, known := d.companions[address]; !known {
+			return false
+		}
+	}
+	return true
+}
+
 // allAbsent reports whether every companion in the search's reach has said that it
 // doesn't have the flow.
 func (d *Dispatcher) allAbsent(key core.FlowKey, s *search) bool {
--- a/roles/companion/companion.go
+++ b/roles/companion/companion.go
@@ -140,7 +140,7 @@
 			})
 		},
 		Control: func(ctx context.Context) {
-			c.loop.Run(ctx, &control{companion: c, registration: passthrough.NewRegistration(began, c.config.Gate.AnnouncementLimit)})
+			c.loop.Run(ctx, &control{companion: c, controls: c.config.Seeds(), registration: passthrough.NewRegistration(began, c.config.Gate.AnnouncementLimit)})
 		},
 		Packets: func(ctx context.Context) { traffic.Run(ctx, newOwner(c), tickInterval, c.peers, c.outbound) },
 		Leaving: func() {
--- a/roles/companion/control.go
+++ b/roles/companion/control.go
@@ -1,12 +1,14 @@
 package companion
 
 import (
+	"net/netip"
 	"time"
 
 	"zinniapulley.dev/loop"
 	"zinniapulley.dev/passthrough"
 	"zinniapulley.dev/roles/feed"
 	"zinniapulley.dev/route"
+	"zinniapulley.dev/wire/hop"
 )
 
 // event is what the control goroutine takes.
@@ -18,16 +20,35 @@
 type control struct {
 	companion    *Companion
 	registration *passthrough.Registration
+	controls     []netip.AddrPort
+	helloDue     time.Time
 }
 
+// helloInterval is the time between hellos to the control instances.
+const helloInterval = time.Second
+
 // Handle takes one event.
 func (c *control) Handle(now time.Time, e event) { e.handle(c, now) }
 
-// Deadline reports that nothing is due.
-func (c *control) Deadline() (time.Time, bool) { return time.Time{}, false }
+// Deadline returns when the next hello is due.
+func (c *control) Deadline() (time.Time, bool) { return c.helloDue, true }
 
-// Wake does nothing, because nothing is due.
-func (c *control) Wake(time.Time) {}
+// Wake tells the control instances of this companion.
+func (c *control) Wake(now time.Time) {
+	c.helloDue = now.Add(helloInterval)
+	config := &c.companion.config
+	datagram, err := hop.EncodeHello(hop.Hello{Packets: config.Packets, Companion: true})
+	if err != nil {
+		config.Log.Error("hello not sent", "error", err)
+		return
+	}
+	for _, to := range c.controls {
+		_, err = c.companion.peers.WriteToUDPAddrPort(datagram, to)
+		if err != nil {
+			config.Log.Debug("hello not sent", "to", to, "error", err)
+		}
+	}
+}
 
 // change puts a changed copy of the packet path's state in force.
 func (c *control) change(edit func(*state)) {
@@ -41,6 +62,9 @@
 
 func (u updated) handle(c *control, _ time.Time) {
 	log := c.companion.config.Log
+	if len(u.Controls) > 0 {
+		c.controls = u.Controls
+	}
 	if u.Entries != nil {
 		c.change(func(s *state) { s.entries = u.Entries })
 		log.Info("entry instances known", "entries", u.Entries)
--- a/roles/control/control.go
+++ b/roles/control/control.go
@@ -34,6 +34,9 @@
 	// are no longer told of it. It outlives the restart of the instance and of a
 	// control instance.
 	entryLimit = 15 * time.Second
+	// companionLimit is how long a companion may be silent before it no longer counts
+	// as one that may hold flows: longer than any flow would wait for it.
+	companionLimit = 20 * time.Second
 	// submitTimeout bounds how long an operator's order waits here. Operators turn
 	// to another instance after a second.
 	submitTimeout = 850 * time.Millisecond
--- a/roles/control/handler.go
+++ b/roles/control/handler.go
@@ -36,6 +36,10 @@
 	state   route.State
 	// entries holds when each entry instance was heard of last.
 	entries map[netip.AddrPort]time.Time
+	// companions is the same of companions. The list of them that may hold flows is
+	// part of the replicated state.
+	companions map[netip.AddrPort]time.Time
+	leading    bool
 	// changes counts the entry instances that came or went.
 	changes int
 	peers   peerList
@@ -82,7 +86,7 @@
 }
 
 func newHandler(ctx context.Context, server *Server) *handler {
-	return &handler{server: server, ctx: ctx, entries: make(map[netip.AddrPort]time.Time)}
+	return &handler{server: server, ctx: ctx, entries: make(map[netip.AddrPort]time.Time), companions: make(map[netip.AddrPort]time.Time)}
 }
 
 // Handle takes one event.
@@ -113,6 +117,7 @@
 	if !now.Before(h.sweep) {
 		h.sweep = now.Add(time.Second)
 		h.forgetEntries(now)
+		h.listCompanions(now)
 		h.measure()
 	}
 	h.after(now)
@@ -238,6 +243,43 @@
 	h.peers = list
 }
 
+// listCompanions has the leader add companions that it hears of to the list of those
+// that may hold flows, and take out those that were silent for long.
+func (h *handler) listCompanions(now time.Time) {
+	leading := h.replica != nil && h.replica.Leading()
+	if leading && !h.leading {
+		// What was heard before, by another leader, isn't known here.
+		for _, address := range h.state.Companions {
+			h.companions[address] = now
+		}
+	}
+	h.leading = leading
+	var change route.SetCompanions
+	for address, heard := range h.companions {
+		_, listed := slices.BinarySearchFunc(h.state.Companions, address, netip.AddrPort.Compare)
+		switch {
+		case now.Sub(heard) > companionLimit:
+			delete(h.companions, address)
+			if listed {
+				change.Remove = append(change.Remove, address)
+			}
+		case !listed:
+			change.Add = append(change.Add, address)
+		}
+	}
+	if !leading || len(change.Add)+len(change.Remove) == 0 {
+		return
+	}
+	command, err := encodeCommand(route.Command{Companions: &change})
+	if err != nil {
+		h.server.config.Log.Error("list of companions not changed", "error", err)
+		return
+	}
+	h.replica.Propose(now, command, func(_ any, err error) {
+		h.server.config.Log.Info("list of companions changed", "added", change.Add, "removed", change.Remove, "error", err)
+	})
+}
+
 func (h *handler) forgetEntries(now time.Time) {
 	for address, heard := range h.entries {
 		if now.Sub(heard) > entryLimit {
@@ -346,15 +388,22 @@
 	h.waiters = append(h.waiters, waiter{request: e.request, reply: e.reply, due: now.Add(feed.Wait)})
 }
 
-// heard is an entry instance's hello.
-type heard struct{ entry netip.AddrPort }
+// heard is the hello of an entry instance or a companion.
+type heard struct {
+	at        netip.AddrPort
+	companion bool
+}
 
 func (e heard) handle(h *handler, now time.Time) {
-	_, known := h.entries[e.entry]
-	h.entries[e.entry] = now
+	if e.companion {
+		h.companions[e.at] = now
+		return
+	}
+	_, known := h.entries[e.at]
+	h.entries[e.at] = now
 	if !known {
 		h.changes++
-		h.server.config.Log.Info("entry instance heard of", "entry", e.entry)
+		h.server.config.Log.Info("entry instance heard of", "entry", e.at)
 	}
 }
 
--- a/roles/control/orders.go
+++ b/roles/control/orders.go
@@ -27,26 +27,31 @@
 }
 
 func (s *Server) submit(ctx context.Context, command route.Command) (route.Result, error) {
-	var buffer bytes.Buffer
-	err := gob.NewEncoder(&buffer).Encode(command)
+	encoded, err := encodeCommand(command)
 	if err != nil {
-		return route.Result{}, core.At("encode command", "", err)
+		return route.Result{}, err
 	}
 	var reply wire.SubmitReply
 	err = s.atLeader(ctx, "submit", func(limited context.Context) (refusal, error) {
-		answer, err := loop.Ask(limited, s.loop, func(r loop.Reply[submitAnswer]) event { return submitted{command: buffer.Bytes(), reply: r} })
+		answer, err := loop.Ask(limited, s.loop, func(r loop.Reply[submitAnswer]) event { return submitted{command: encoded, reply: r} })
 		if err != nil {
 			return refusal{}, err
 		}
 		reply = answer.reply
 		if reply.NotLeader && answer.leader.IsValid() {
-			reply, err = forward[wire.SubmitReply](limited, answer.leader, wire.MethodSubmit, wire.SubmitRequest{Command: buffer.Bytes()})
+			reply, err = forward[wire.SubmitReply](limited, answer.leader, wire.MethodSubmit, wire.SubmitRequest{Command: encoded})
 		}
 		return refusal{notLeader: reply.NotLeader, failure: reply.Failure}, err
 	})
 	return reply.Result, err
 }
 
+func encodeCommand(command route.Command) ([]byte, error) {
+	var buffer bytes.Buffer
+	err := gob.NewEncoder(&buffer).Encode(command)
+	return buffer.Bytes(), core.At("encode command", "", err)
+}
+
 // Read returns the newest configuration, as a quorum confirms. Its Source is
 // empty before there is one.
 func (s *Server) Read(ctx context.Context) (wire.ReadReply, error) {
--- a/roles/control/service.go
+++ b/roles/control/service.go
@@ -114,7 +114,7 @@
 	e.reply.Answer(wire.JoinReply{Leader: h.server.config.RPC.String(), Added: true})
 }
 
-// hellos takes the datagrams of entry instances.
+// hellos takes the datagrams of entry instances and companions.
 type hellos struct{ server *Server }
 
 // Handle takes one datagram.
@@ -127,7 +127,7 @@
 		o.server.config.Log.Warn("hello not taken", "from", d.From, "error", err)
 		return
 	}
-	err = o.server.loop.Post(heard{entry: hello.Packets})
+	err = o.server.loop.Post(heard{at: hello.Packets, companion: hello.Companion})
 	if err != nil {
 		o.server.config.Log.Warn("hello not taken", "from", d.From, "error", err)
 	}
--- a/route/state.go
+++ b/route/state.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"net/netip"
 	"slices"
 
 	"zinniapulley.dev/core"
@@ -10,6 +11,12 @@
 type Command struct {
 	Configure  *Configuration
 	DataCentre *SetDataCentre
+	Companions *SetCompanions
+}
+
+// SetCompanions changes which companions may hold flows.
+type SetCompanions struct {
+	Add, Remove []netip.AddrPort
 }
 
 // SetDataCentre takes a data centre out or puts it in again.
@@ -34,6 +41,9 @@
 	Configuration Configuration
 	// Out lists the data centres taken out, in order.
 	Out []core.DataCentre
+	// Companions lists the companions that may hold flows, in order, by the address
+	// at which they take packets.
+	Companions []netip.AddrPort
 }
 
 // maxFormer is the most earlier services kept for a route, latest first. A flow
@@ -48,6 +58,8 @@
 		changed = s.configure(*command.Configure)
 	case command.DataCentre != nil:
 		changed = s.setDataCentre(*command.DataCentre)
+	case command.Companions != nil:
+		changed = s.setCompanions(*command.Companions)
 	}
 	if changed {
 		s.Revision++
@@ -106,12 +118,25 @@
 	return true
 }
 
+func (s *State) setCompanions(command SetCompanions) bool {
+	next := slices.DeleteFunc(slices.Clone(s.Companions), func(a netip.AddrPort) bool { return slices.Contains(command.Remove, a) })
+	for _, added := range command.Add {
+		index, known := slices.BinarySearchFunc(next, added, netip.AddrPort.Compare)
+		if !known {
+			next = slices.Insert(next, index, added)
+		}
+	}
+	changed := !slices.Equal(next, s.Companions)
+	s.Companions = next
+	return changed
+}
+
 // View returns what the instances that move packets need of the state. It shares
 // the state's slices, which are never modified in place.
 func (s *State) View() *View {
 	return &View{
 		Revision: s.Revision, Version: s.Configuration.Version,
 		Routes: s.Configuration.Routes, Services: s.Configuration.Services,
-		Out: s.Out, IdleTimeout: s.Configuration.IdleTimeout,
+		Out: s.Out, Companions: s.Companions, IdleTimeout: s.Configuration.IdleTimeout,
 	}
 }
--- a/route/state_test.go
+++ b/route/state_test.go
@@ -76,3 +76,17 @@
 	g.Expect(state.Out).To(gomega.Equal([]core.DataCentre{"a"}))
 	g.Expect(earlier.Out).To(gomega.Equal([]core.DataCentre{"b"}), "a view doesn't change")
 }
+
+func TestCompanions(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var state route.State
+	a, b := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
+	set := func(add, remove []netip.AddrPort) bool {
+		return state.Apply(route.Command{Companions: &route.SetCompanions{Add: add, Remove: remove}}).Changed
+	}
+	g.Expect(set([]netip.AddrPort{b, a}, nil)).To(gomega.BeTrue())
+	g.Expect(set([]netip.AddrPort{a}, nil)).To(gomega.BeFalse())
+	g.Expect(state.View().Companions).To(gomega.Equal([]netip.AddrPort{a, b}))
+	g.Expect(set(nil, []netip.AddrPort{a})).To(gomega.BeTrue())
+	g.Expect(state.Companions).To(gomega.Equal([]netip.AddrPort{b}))
+}
--- a/route/view.go
+++ b/route/view.go
@@ -12,10 +12,12 @@
 type View struct {
 	Revision core.Revision
 	// Version is that of the configuration; zero before the first one.
-	Version     uint64
-	Routes      []Route
-	Services    []Service
-	Out         []core.DataCentre
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Out      []core.DataCentre
+	// Companions lists those that may hold flows.
+	Companions  []netip.AddrPort
 	IdleTimeout time.Duration
 }
 
--- a/soak/run/main.go
+++ b/soak/run/main.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -24,15 +26,20 @@
 
 // Run plays the seeds one after the other.
 func (c *commands) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	broken := 0
 	for i := range c.Seeds {
+		if ctx.Err() != nil {
+			return errors.New("stopped")
+		}
 		seed := c.First + uint64(i)
 		folder := filepath.Join(c.Folder, fmt.Sprint(seed))
 		err := os.RemoveAll(folder)
 		if err != nil {
 			return errors.Trace(err)
 		}
-		report, err := soak.Run(context.Background(), soak.Options{
+		report, err := soak.Run(ctx, soak.Options{
 			Seed: seed, Length: c.Length, Command: []string{c.Binary}, Network: c.Net, Folder: folder,
 		})
 		if err != nil {
--- a/wire/hop/hop.go
+++ b/wire/hop/hop.go
@@ -53,10 +53,13 @@
 	Packet []byte
 }
 
-// Hello tells control instances of an entry instance.
+// Hello tells control instances of an entry instance or a companion.
 type Hello struct {
-	// Packets is the address at which it takes notes and statuses.
+	// Packets is the address at which an entry instance takes notes and statuses, and
+	// a companion packets.
 	Packets netip.AddrPort
+	// Companion says that it is a companion.
+	Companion bool
 }
 
 // AppendEnvelope appends the encoded envelope to the buffer.
