Keep resets prompt where companions were taken away

Change: a companion without a backend server denies flows and says that it leaves; the list marks those whose backend server was about to leave, which hold up no reset; one that knew no backend server and is silent for 2 s counts as gone; a listed companion is waited for 4 s after the entry instance's start at most.

--- a/cmd/zinniapulley/platform.go
+++ b/cmd/zinniapulley/platform.go
@@ -34,6 +34,10 @@
 	// announcementsMissed is how many announcements a backend server may leave out
 	// before it gets no new flows.
 	announcementsMissed = 3.5
+	// firstAnnouncements is within how many intervals a backend server that runs has
+	// announced itself to a companion that has just started: one, and one more for a
+	// try that failed.
+	firstAnnouncements = 2
 )
 
 // platformCommand holds the roles as the users' platform runs them.
@@ -182,7 +186,8 @@
 		Server: s.Server, Service: s.Service, Seeds: c.seeds,
 		Gate: passthrough.GateConfig{
 			DataCentre: s.DataCentre, AnnouncementLimit: time.Duration(float64(s.AnnounceInterval) * announcementsMissed),
-			ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, MaxFlowAge: s.Bounds.MaxFlowAge,
+			FirstAnnouncement: s.AnnounceInterval * firstAnnouncements,
+			ColdFactor:        s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, MaxFlowAge: s.Bounds.MaxFlowAge,
 		},
 		Codec: platform.Datagrams{CallerPort: s.Listen.Packets.Port()}, Log: c.log, Metrics: c.metrics,
 	})
--- a/measure/flows/flows.go
+++ b/measure/flows/flows.go
@@ -218,7 +218,7 @@
 }
 
 func (f *forwarding) addServer() {
-	gate := passthrough.NewGate(f.now, passthrough.GateConfig{DataCentre: "north", AnnouncementLimit: time.Hour, MaxFlowAge: time.Hour})
+	gate := passthrough.NewGate(f.now, passthrough.GateConfig{DataCentre: "north", AnnouncementLimit: time.Hour, FirstAnnouncement: time.Hour, MaxFlowAge: time.Hour})
 	gate.SetTable(f.now, f.table)
 	f.gates = append(f.gates, gate)
 	f.draining = append(f.draining, false)
--- a/passthrough/gate.go
+++ b/passthrough/gate.go
@@ -37,6 +37,9 @@
 	// AnnouncementLimit is how long a backend server may be silent about itself before it
 	// gets no new flows.
 	AnnouncementLimit time.Duration
+	// FirstAnnouncement is how long after the companion's start a backend server that
+	// runs has announced itself.
+	FirstAnnouncement time.Duration
 	// ColdFactor and ColdSlack bound the new flows of a cold backend server in a
 	// second: its rate times the factor, plus the slack.
 	ColdFactor float64
@@ -254,7 +257,12 @@
 
 // knowsAll reports whether every flow of the backend server is known here.
 func (g *Gate) knowsAll(now time.Time) bool {
-	return g.target.Younger || now.Sub(g.started) > g.config.MaxFlowAge
+	return g.target.Younger || g.alone(now) || now.Sub(g.started) > g.config.MaxFlowAge
+}
+
+// alone reports whether no backend server runs beside the companion.
+func (g *Gate) alone(now time.Time) bool {
+	return g.target.Gone || (!g.target.Known && now.Sub(g.started) > g.config.FirstAnnouncement)
 }
 
 // mayHold reports whether the backend server's service may hold the flow.
--- a/passthrough/packet.go
+++ b/passthrough/packet.go
@@ -100,7 +100,8 @@
 	Server string
 	// Ready says that new flows are taken.
 	Ready bool
-	// Departed says that the backend server has ended, so that its flows are lost.
+	// Departed says that no backend server runs beside the companion, so that no flow
+	// lives there.
 	Departed bool
 	// Cold says that the backend server bears only a little yet.
 	Cold bool
--- a/passthrough/search.go
+++ b/passthrough/search.go
@@ -23,6 +23,13 @@
 	// every companion that runs: three intervals between their statuses. A companion
 	// that has just started may not be listed yet.
 	completeAfter = time.Second
+	// missingLimit is how long after its start an entry instance waits for listed
+	// companions: the time after which a machine that is down no longer counts as
+	// sound, 4 s, which is longer than a process takes to come back.
+	missingLimit = 4 * time.Second
+	// goneAfter is how long a companion that knows no backend server may be silent
+	// before it is taken to be gone: six intervals between its statuses.
+	goneAfter = 2 * time.Second
 	// maxQuestions is the most questions in one second: about 2 Mbit/s.
 	maxQuestions = 4000
 	// maxKept is the most packets kept while their flows are sought.
@@ -163,17 +170,17 @@
 // good order.
 func (d *Dispatcher) concludeSearch(now time.Time, key core.FlowKey, flow *cached) {
 	s := flow.search
-	if !d.allAbsent(key, s) {
+	if !d.allAbsent(now, key, s) {
 		return
 	}
 	if !s.wide {
 		s.wide = true
 		d.question(now, key, s)
-		if !d.allAbsent(key, s) {
+		if !d.allAbsent(now, key, s) {
 			return
 		}
 	}
-	if flow.closing || d.table == nil || d.table.Route(key.Service) == nil || now.Sub(d.started) < completeAfter || !d.knowsAll() {
+	if flow.closing || d.table == nil || d.table.Route(key.Service) == nil || now.Sub(d.started) < completeAfter || !d.knowsAll(now) {
 		return
 	}
 	if len(s.absent) == 0 {
@@ -186,10 +193,14 @@
 }
 
 // knowsAll reports whether every companion that may hold flows has been heard of
-// since the start.
-func (d *Dispatcher) knowsAll() bool {
-	for _, address := range d.table.View.Companions {
-		if _, known := d.companions[address]; !known {
+// since the start. One that is missing for long has no flow that a caller still waits
+// for, and one whose backend server was about to leave hardly any.
+func (d *Dispatcher) knowsAll(now time.Time) bool {
+	if now.Sub(d.started) > missingLimit {
+		return true
+	}
+	for _, listed := range d.table.View.Companions {
+		if _, known := d.companions[listed.Address]; !known && !listed.Draining {
 			return false
 		}
 	}
@@ -198,11 +209,17 @@
 
 // allAbsent reports whether every companion in the search's reach has said that it
 // doesn't have the flow.
-func (d *Dispatcher) allAbsent(key core.FlowKey, s *search) bool {
+func (d *Dispatcher) allAbsent(now time.Time, key core.FlowKey, s *search) bool {
 	for _, c := range d.holders(key, s.wide) {
-		if !slices.Contains(s.absent, c.status.Companion) {
+		if !slices.Contains(s.absent, c.status.Companion) && !c.cameAndWent(now) {
 			return false
 		}
 	}
 	return true
 }
+
+// cameAndWent reports whether a companion had not heard of any backend server when
+// it was heard of last, some time ago: its machine was started and taken away again.
+func (c *companion) cameAndWent(now time.Time) bool {
+	return c.status.Service == "" && now.Sub(c.heard) > goneAfter
+}
--- a/passthrough/target.go
+++ b/passthrough/target.go
@@ -234,7 +234,7 @@
 	}
 	return Status{
 		DataCentre: g.config.DataCentre, Service: g.target.Service, Server: g.target.Server,
-		Ready: ready, Departed: g.target.Gone, Cold: cold, Slots: g.target.Slots,
+		Ready: ready, Departed: g.alone(now), Cold: cold, Slots: g.target.Slots,
 		Running: g.running, Flows: g.open,
 	}
 }
--- a/roles/companion/companion.go
+++ b/roles/companion/companion.go
@@ -145,7 +145,8 @@
 		Packets: func(ctx context.Context) { traffic.Run(ctx, newOwner(c), tickInterval, c.peers, c.outbound) },
 		Leaving: func() {
 			c.stopping.Store(true)
-			c.config.Log.Info("leaving", "wait", leaveTime)
+			err := c.loop.Post(stopping{})
+			c.config.Log.Info("leaving", "wait", leaveTime, "error", err)
 		},
 		Leave: leaveTime,
 	})
--- a/roles/companion/control.go
+++ b/roles/companion/control.go
@@ -22,10 +22,18 @@
 	registration *passthrough.Registration
 	controls     []netip.AddrPort
 	helloDue     time.Time
+	// leaving is set when the companion is to stop and no backend server runs beside
+	// it.
+	leaving bool
 }
 
-// helloInterval is the time between hellos to the control instances.
-const helloInterval = time.Second
+const (
+	// helloInterval is the time between hellos to the control instances.
+	helloInterval = time.Second
+	// goodbyeInterval is the same while the companion leaves, so that several go out
+	// in that time.
+	goodbyeInterval = 120 * time.Millisecond
+)
 
 // Handle takes one event.
 func (c *control) Handle(now time.Time, e event) { e.handle(c, now) }
@@ -36,8 +44,13 @@
 // Wake tells the control instances of this companion.
 func (c *control) Wake(now time.Time) {
 	c.helloDue = now.Add(helloInterval)
+	if c.leaving {
+		c.helloDue = now.Add(goodbyeInterval)
+	}
 	config := &c.companion.config
-	datagram, err := hop.EncodeHello(hop.Hello{Packets: config.Packets, Companion: true})
+	datagram, err := hop.EncodeHello(hop.Hello{
+		Packets: config.Packets, Companion: true, Draining: c.registration.Target().Draining, Leaving: c.leaving,
+	})
 	if err != nil {
 		config.Log.Error("hello not sent", "error", err)
 		return
@@ -57,6 +70,16 @@
 	c.companion.state.Store(&next)
 }
 
+// stopping says that the companion is to stop.
+type stopping struct{}
+
+func (stopping) handle(c *control, now time.Time) {
+	target := c.registration.Target()
+	none := !target.Known && time.Since(began) > c.companion.config.Gate.FirstAnnouncement
+	c.leaving = target.Gone || none
+	c.Wake(now)
+}
+
 // updated is news from a control instance.
 type updated feed.Update
 
@@ -94,6 +117,7 @@
 	}
 	c.change(func(s *state) { s.target = target })
 	if before.Start != target.Start || before.Draining != target.Draining {
+		c.Wake(now)
 		c.companion.config.Log.Info("backend server announced", "server", target.Server, "service", target.Service, "born", target.Born,
 			"number", target.Number, "slots", target.Slots, "draining", target.Draining, "coldFor", e.a.ColdFor, "expectedService", c.companion.config.Service)
 	}
--- a/roles/control/control_test.go
+++ b/roles/control/control_test.go
@@ -17,6 +17,7 @@
 	"zinniapulley.dev/roles/control"
 	"zinniapulley.dev/route"
 	"zinniapulley.dev/wire"
+	"zinniapulley.dev/wire/hop"
 )
 
 // freeAddress returns an address whose TCP and UDP ports are free.
@@ -158,3 +159,52 @@
 		return sync(2, 1).Behind && !sync(0, 1).Behind
 	}, 30*time.Second, 50*time.Millisecond).Should(gomega.BeTrue())
 }
+
+// hello sends a companion's hello to every instance of the group.
+func (g *group) hello(companion netip.AddrPort, leaving bool) {
+	g.t.Helper()
+	conn, err := net.ListenUDP("udp4", nil)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	datagram, err := hop.EncodeHello(hop.Hello{Packets: companion, Companion: true, Leaving: leaving})
+	for _, seed := range g.seeds {
+		if err == nil {
+			_, err = conn.WriteToUDPAddrPort(datagram, seed)
+		}
+	}
+	if err != nil {
+		g.t.Fatal(err)
+	}
+}
+
+// companions returns the companions that an instance tells others of.
+func (g *group) companions(i int) []route.Companion {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	client := wire.NewClient(g.seeds[i])
+	defer client.Close()
+	var reply wire.SyncReply
+	err := client.Call(ctx, wire.MethodSync, wire.SyncRequest{Instance: "x"}, &reply)
+	if err != nil || reply.View == nil {
+		return nil
+	}
+	return reply.View.Companions
+}
+
+// A companion that may hold flows is listed until it says that it leaves without
+// any: entry instances wait for every one that is listed before they reset a flow.
+func TestCompanionIsListedUntilItLeaves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	group := startGroup(t, 3)
+	companion := netip.MustParseAddrPort("127.0.0.99:8000")
+	g.Eventually(func() []route.Companion {
+		group.hello(companion, false)
+		return group.companions(1)
+	}, 20*time.Second, 50*time.Millisecond).Should(gomega.Equal([]route.Companion{{Address: companion}}))
+	g.Eventually(func() []route.Companion {
+		group.hello(companion, true)
+		return group.companions(2)
+	}, 20*time.Second, 50*time.Millisecond).Should(gomega.BeEmpty())
+}
--- a/roles/control/handler.go
+++ b/roles/control/handler.go
@@ -20,6 +20,7 @@
 	"zinniapulley.dev/roles/feed"
 	"zinniapulley.dev/route"
 	"zinniapulley.dev/wire"
+	"zinniapulley.dev/wire/hop"
 )
 
 // lagLimit is how long what is committed may wait for the disk here before
@@ -38,7 +39,7 @@
 	entries map[netip.AddrPort]time.Time
 	// companions is the same of companions. The list of them that may hold flows is
 	// part of the replicated state.
-	companions map[netip.AddrPort]time.Time
+	companions map[netip.AddrPort]companionHeard
 	leading    bool
 	// changes counts the entry instances that came or went.
 	changes int
@@ -86,7 +87,7 @@
 }
 
 func newHandler(ctx context.Context, server *Server) *handler {
-	return &handler{server: server, ctx: ctx, entries: make(map[netip.AddrPort]time.Time), companions: make(map[netip.AddrPort]time.Time)}
+	return &handler{server: server, ctx: ctx, entries: make(map[netip.AddrPort]time.Time), companions: make(map[netip.AddrPort]companionHeard)}
 }
 
 // Handle takes one event.
@@ -243,31 +244,37 @@
 	h.peers = list
 }
 
+// companionHeard is what a companion last said of itself.
+type companionHeard struct {
+	when              time.Time
+	draining, leaving bool
+}
+
 // listCompanions has the leader add companions that it hears of to the list of those
 // that may hold flows, and take out those that were silent for long.
 func (h *handler) listCompanions(now time.Time) {
 	leading := h.replica != nil && h.replica.Leading()
 	if leading && !h.leading {
 		// What was heard before, by another leader, isn't known here.
-		for _, address := range h.state.Companions {
-			h.companions[address] = now
+		for _, listed := range h.state.Companions {
+			h.companions[listed.Address] = companionHeard{when: now, draining: listed.Draining}
 		}
 	}
 	h.leading = leading
 	var change route.SetCompanions
 	for address, heard := range h.companions {
-		_, listed := slices.BinarySearchFunc(h.state.Companions, address, netip.AddrPort.Compare)
+		listed, known := h.state.Companion(address)
 		switch {
-		case now.Sub(heard) > companionLimit:
+		case heard.leaving || now.Sub(heard.when) >= companionLimit:
 			delete(h.companions, address)
-			if listed {
+			if known {
 				change.Remove = append(change.Remove, address)
 			}
-		case !listed:
-			change.Add = append(change.Add, address)
+		case !known || listed.Draining != heard.draining:
+			change.Set = append(change.Set, route.Companion{Address: address, Draining: heard.draining})
 		}
 	}
-	if !leading || len(change.Add)+len(change.Remove) == 0 {
+	if !leading || len(change.Set)+len(change.Remove) == 0 {
 		return
 	}
 	command, err := encodeCommand(route.Command{Companions: &change})
@@ -276,7 +283,7 @@
 		return
 	}
 	h.replica.Propose(now, command, func(_ any, err error) {
-		h.server.config.Log.Info("list of companions changed", "added", change.Add, "removed", change.Remove, "error", err)
+		h.server.config.Log.Info("list of companions changed", "set", change.Set, "removed", change.Remove, "error", err)
 	})
 }
 
@@ -389,21 +396,19 @@
 }
 
 // heard is the hello of an entry instance or a companion.
-type heard struct {
-	at        netip.AddrPort
-	companion bool
-}
+type heard struct{ hello hop.Hello }
 
 func (e heard) handle(h *handler, now time.Time) {
-	if e.companion {
-		h.companions[e.at] = now
+	at := e.hello.Packets
+	if e.hello.Companion {
+		h.companions[at] = companionHeard{when: now, draining: e.hello.Draining, leaving: e.hello.Leaving}
 		return
 	}
-	_, known := h.entries[e.at]
-	h.entries[e.at] = now
+	_, known := h.entries[at]
+	h.entries[at] = now
 	if !known {
 		h.changes++
-		h.server.config.Log.Info("entry instance heard of", "entry", e.at)
+		h.server.config.Log.Info("entry instance heard of", "entry", at)
 	}
 }
 
--- a/roles/control/service.go
+++ b/roles/control/service.go
@@ -127,7 +127,7 @@
 		o.server.config.Log.Warn("hello not taken", "from", d.From, "error", err)
 		return
 	}
-	err = o.server.loop.Post(heard{at: hello.Packets, companion: hello.Companion})
+	err = o.server.loop.Post(heard{hello: hello})
 	if err != nil {
 		o.server.config.Log.Warn("hello not taken", "from", d.From, "error", err)
 	}
--- a/route/state.go
+++ b/route/state.go
@@ -16,9 +16,21 @@
 
 // SetCompanions changes which companions may hold flows.
 type SetCompanions struct {
-	Add, Remove []netip.AddrPort
+	// Set adds companions or changes what is known of them.
+	Set    []Companion
+	Remove []netip.AddrPort
 }
 
+// Companion is one that may hold flows.
+type Companion struct {
+	// Address is where it takes packets.
+	Address netip.AddrPort
+	// Draining says that its backend server is about to leave.
+	Draining bool
+}
+
+func compareCompanion(c Companion, address netip.AddrPort) int { return c.Address.Compare(address) }
+
 // SetDataCentre takes a data centre out or puts it in again.
 type SetDataCentre struct {
 	Name core.DataCentre
@@ -41,9 +53,8 @@
 	Configuration Configuration
 	// Out lists the data centres taken out, in order.
 	Out []core.DataCentre
-	// Companions lists the companions that may hold flows, in order, by the address
-	// at which they take packets.
-	Companions []netip.AddrPort
+	// Companions lists the companions that may hold flows, ordered by address.
+	Companions []Companion
 }
 
 // maxFormer is the most earlier services kept for a route, latest first. A flow
@@ -119,11 +130,13 @@
 }
 
 func (s *State) setCompanions(command SetCompanions) bool {
-	next := slices.DeleteFunc(slices.Clone(s.Companions), func(a netip.AddrPort) bool { return slices.Contains(command.Remove, a) })
-	for _, added := range command.Add {
-		index, known := slices.BinarySearchFunc(next, added, netip.AddrPort.Compare)
-		if !known {
-			next = slices.Insert(next, index, added)
+	next := slices.DeleteFunc(slices.Clone(s.Companions), func(c Companion) bool { return slices.Contains(command.Remove, c.Address) })
+	for _, set := range command.Set {
+		index, known := slices.BinarySearchFunc(next, set.Address, compareCompanion)
+		if known {
+			next[index] = set
+		} else {
+			next = slices.Insert(next, index, set)
 		}
 	}
 	changed := !slices.Equal(next, s.Companions)
@@ -131,6 +144,15 @@
 	return changed
 }
 
+// Companion returns what is listed of a companion, and false if it isn't listed.
+func (s *State) Companion(address netip.AddrPort) (Companion, bool) {
+	index, listed := slices.BinarySearchFunc(s.Companions, address, compareCompanion)
+	if !listed {
+		return Companion{}, false
+	}
+	return s.Companions[index], true
+}
+
 // View returns what the instances that move packets need of the state. It shares
 // the state's slices, which are never modified in place.
 func (s *State) View() *View {
--- a/route/view.go
+++ b/route/view.go
@@ -17,7 +17,7 @@
 	Services []Service
 	Out      []core.DataCentre
 	// Companions lists those that may hold flows.
-	Companions  []netip.AddrPort
+	Companions  []Companion
 	IdleTimeout time.Duration
 }
 
--- a/wire/hop/hop.go
+++ b/wire/hop/hop.go
@@ -60,6 +60,11 @@
 	Packets netip.AddrPort
 	// Companion says that it is a companion.
 	Companion bool
+	// Draining says that the companion's backend server is about to leave.
+	Draining bool
+	// Leaving says that the companion ends after its backend server, so that no flow
+	// is left there.
+	Leaving bool
 }
 
 // AppendEnvelope appends the encoded envelope to the buffer.
