Don't ask a backend server that hasn't announced itself about a flow, nor pass on its reset

Ruled out: the entry instances' own resets, by the report's sender.

Change: a sought packet goes to a backend server that has announced itself only; a reset that answers one counts as a denial and isn't passed on. The soak's settings and bodies are written in platform/platformtest.

--- a/passthrough/gate.go
+++ b/passthrough/gate.go
@@ -251,6 +251,12 @@
 		g.notHere(entry, sought, p, ReasonNotHere)
 		return
 	}
+	if sought && !g.target.Known {
+		// What is there may be about to start, or another service's: it isn't asked
+		// before it has said what it is. The caller repeats the packet.
+		g.act(GateDrop, ReasonNoTarget, p)
+		return
+	}
 	g.flows[p.Key] = &gateFlow{stage: stageProbing, entry: entry, sought: sought, seen: now}
 	g.act(GateDeliver, ReasonUnknownFlow, p)
 }
--- a/passthrough/gate_answer.go
+++ b/passthrough/gate_answer.go
@@ -16,6 +16,12 @@
 		g.givenBack(p, flow)
 		return g.out
 	}
+	if known && flow.deniedBy(p) {
+		entry := flow.entry
+		flow.stage, flow.seen = stageAbsent, now
+		g.notHere(entry, true, p, ReasonNotHere)
+		return g.out
+	}
 	if !known {
 		flow = &gateFlow{stage: stageOpen}
 		g.flows[p.Key] = flow
@@ -27,6 +33,12 @@
 	return g.out
 }
 
+// deniedBy reports whether a backend server's reset is about a packet that it was
+// only asked with, and that others got too: the flow may live there.
+func (f *gateFlow) deniedBy(p *Packet) bool {
+	return f.sought && (f.stage == stageProbing || f.stage == stageAbsent) && p.Flags.Has(core.TCPRst)
+}
+
 // heard notes that the backend server answers.
 func (g *Gate) heard() {
 	g.unanswered = time.Time{}
--- a/passthrough/gate_test.go
+++ b/passthrough/gate_test.go
@@ -326,3 +326,24 @@
 	g.Expect(kind(3 * time.Second)).To(gomega.Equal(passthrough.NoteAbsent))
 	g.Expect(gate.Status(start.Add(3 * time.Second)).Departed).To(gomega.BeTrue())
 }
+
+// A flow that was sought reached a companion whose backend server was about to start;
+// its reset went to the caller, whose flow lived elsewhere (hunt on pinhal-balance and
+// deksel-net-grown).
+func TestBackendServerThatIsAskedDoesNotResetTheFlow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	gate := passthrough.NewGate(start, gateConfig())
+	gate.SetTable(start, table(1))
+	actions := gate.FromEntry(start, entryAt, true, 1, data(1, 5001))
+	g.Expect(actions).To(gomega.HaveLen(1))
+	g.Expect(actions[0].Kind).To(gomega.Equal(passthrough.GateDrop), "it hasn't announced itself")
+
+	registration := passthrough.NewRegistration(start.Add(time.Hour), gateConfig().AnnouncementLimit)
+	target, _ := registration.Announce(start, announcement(9))
+	gate.SetTarget(target)
+	g.Expect(gate.FromEntry(start, entryAt, true, 1, data(1, 5001))[0].Kind).To(gomega.Equal(passthrough.GateDeliver))
+	actions = gate.FromServer(start, &passthrough.Packet{Key: flowKey(1), Flags: core.TCPRst})
+	g.Expect(actions).To(gomega.HaveLen(1))
+	g.Expect(actions[0].Kind).To(gomega.Equal(passthrough.GateNote))
+	g.Expect(actions[0].Note.Kind).To(gomega.Equal(passthrough.NoteAbsent))
+}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -14,10 +14,13 @@
 	"time"
 
 	"github.com/juju/errors"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/platform"
+	"zinniapulley.dev/platform/platformtest"
 	"zinniapulley.dev/standin/packets"
 )
 
-// Sizes and ports of the deployment. Servers are in two zones and of two services by
+// Sizes of the deployment. Servers are in two zones and of two services by
 // turns.
 const (
 	controls = 3
@@ -25,13 +28,6 @@
 	servers  = 6
 	callers  = 4
 
-	portPackets  = 18172
-	portOutbound = 18162
-	portServer   = 18165
-	portControl  = 18166
-	portReady    = 18167
-	portInternal = 17720
-
 	announceInterval = 300 * time.Millisecond
 )
 
@@ -46,20 +42,22 @@
 type process struct {
 	name     string
 	role     string
-	settings string
-	data     string
-	log      *os.File
-	lock     sync.Mutex
-	command  *exec.Cmd
-	paused   bool
-	ended    chan struct{}
+	settings platformtest.Settings
+	// file is the settings file, data the folder of a process with a disk.
+	file    string
+	data    string
+	log     *os.File
+	lock    sync.Mutex
+	command *exec.Cmd
+	paused  bool
+	ended   chan struct{}
 }
 
 // backend is a backend server with what it says of itself.
 type backend struct {
 	server   *packets.Server
-	service  string
-	zone     string
+	service  core.ServiceName
+	zone     core.DataCentre
 	announce string
 	lock     sync.Mutex
 	start    int
@@ -92,7 +90,7 @@
 func newDeployment(options Options, w *watch) (*deployment, error) {
 	d := &deployment{options: options, watch: w}
 	for i := range byte(controls) {
-		d.seeds = append(d.seeds, d.at(groupControl, i+1, portControl))
+		d.seeds = append(d.seeds, d.at(groupControl, i+1, platformtest.PortControl))
 	}
 	for i := range byte(controls) {
 		d.add(roleControl, d.at(groupControl, i+1, 0).Addr(), i)
@@ -110,46 +108,50 @@
 	return d, nil
 }
 
-func zoneOf(i byte) string    { return []string{"north", "south"}[i%2] }
-func serviceOf(i byte) string { return []string{"feed", "feed", "files"}[i%3] }
+func zoneOf(i byte) core.DataCentre     { return []core.DataCentre{"north", "south"}[i%2] }
+func serviceOf(i byte) core.ServiceName { return []core.ServiceName{"feed", "feed", "files"}[i%3] }
 
 func (d *deployment) add(role string, address netip.Addr, i byte) {
 	name := fmt.Sprintf("%s-%d", role, i+1)
-	d.processes = append(d.processes, &process{
-		name: name, role: role, settings: filepath.Join(d.options.Folder, name+".toml"), data: filepath.Join(d.options.Folder, name),
-	})
-	d.write(d.processes[len(d.processes)-1], address, zoneOf(i), serviceOf(i), true)
+	p := &process{
+		name: name, role: role, file: filepath.Join(d.options.Folder, name+".toml"), data: filepath.Join(d.options.Folder, name),
+		settings: platformtest.Settings{
+			Instance: core.InstanceID(name), Address: address, DataCentre: zoneOf(i), Seeds: d.seedHosts(), First: true,
+			AnnounceInterval: announceInterval, DataCentres: []core.DataCentre{zoneOf(0), zoneOf(1)},
+		},
+	}
+	switch role {
+	case roleControl:
+		p.settings.Folder = p.data
+	case roleCompanion:
+		p.settings.Service = serviceOf(i)
+	}
+	d.processes = append(d.processes, p)
+	d.write(p)
 }
 
-// write writes the settings file of a process, in the platform's published format.
-func (d *deployment) write(p *process, address netip.Addr, zone, service string, first bool) {
-	text := fmt.Sprintf("nodeName = %q\nip = %q\nzone = %q\ninternalPorts = [%d, %d]\nbootstrap = %t\nheartbeatMs = %d\n", p.name, address, zone, portInternal, portInternal+1, first, announceInterval.Milliseconds())
-	text += "seeds = ["
+func (d *deployment) seedHosts() []netip.Addr {
+	var hosts []netip.Addr
 	for _, seed := range d.seeds {
-		text += fmt.Sprintf("%q,", seed)
-	}
-	text += "]\n"
-	if p.role == roleControl {
-		text += fmt.Sprintf("dataDir = %q\n", p.data)
-	}
-	if p.role == roleCompanion {
-		text += fmt.Sprintf("app = %q\nservice = %q\n", netip.AddrPortFrom(address, portServer), service)
+		hosts = append(hosts, seed.Addr())
 	}
-	text += "[zones]\nnorth = \"land\"\nsouth = \"land\"\n[listen]\n"
-	text += fmt.Sprintf("packetAddr = %q\noutbound = %q\nready = %q\ncontrol = %q\n", netip.AddrPortFrom(address, portPackets), netip.AddrPortFrom(address, portOutbound), netip.AddrPortFrom(address, portReady), netip.AddrPortFrom(address, portControl))
-	text += "[bounds]\ncoldFactor = 1.5\ncoldSlack = 5\nmaxFlowS = 60\n"
-	err := os.WriteFile(p.settings, []byte(text), 0o600)
+	return hosts
+}
+
+// write writes the settings file of a process.
+func (d *deployment) write(p *process) {
+	err := os.WriteFile(p.file, []byte(p.settings.File()), 0o600)
 	if err != nil {
 		d.watch.violation("settings of %s not written: %v", p.name, err)
 	}
 }
 
 func (d *deployment) addBackend(i byte) error {
-	server, err := packets.NewServer(serviceOf(i)+string('0'+i), d.at(groupServer, i+1, portServer), d.at(groupServer, i+1, portOutbound))
+	server, err := packets.NewServer(fmt.Sprintf("%s%d", serviceOf(i), i), d.at(groupServer, i+1, platformtest.PortServer), d.at(groupServer, i+1, platformtest.PortOutbound))
 	if err != nil {
 		return err
 	}
-	b := &backend{server: server, service: serviceOf(i), zone: zoneOf(i), announce: "http://" + d.at(groupServer, i+1, portControl).String(), start: 1}
+	b := &backend{server: server, service: serviceOf(i), zone: zoneOf(i), announce: "http://" + d.at(groupServer, i+1, platformtest.PortControl).String(), start: 1}
 	server.Opening = func(route netip.AddrPort) { d.opening(b, route) }
 	d.backends = append(d.backends, b)
 	go server.Run()
@@ -179,7 +181,7 @@
 	}
 	arguments := append(append([]string{}, d.options.Command[1:]...), "platform", p.role)
 	command := exec.Command(d.options.Command[0], arguments...)
-	command.Env = append(append(os.Environ(), d.options.Environment...), "ZINNIAPULLEY_SETTINGS="+p.settings)
+	command.Env = append(append(os.Environ(), d.options.Environment...), platform.SettingsVariable+"="+p.file)
 	command.Stdout, command.Stderr = log, log
 	err = command.Start()
 	if err != nil {
@@ -255,31 +257,39 @@
 	}
 }
 
-// routes maps each route to the service that it leads to.
-func (d *deployment) routes() map[netip.AddrPort]string {
-	return map[netip.AddrPort]string{
-		netip.MustParseAddrPort("198.18.0.1:443"): "feed",
-		netip.MustParseAddrPort("198.18.0.2:443"): "files",
+// routes lead to the services.
+var routes = []platformtest.Route{
+	{Address: netip.MustParseAddrPort("198.18.0.1:443"), Service: "feed"},
+	{Address: netip.MustParseAddrPort("198.18.0.2:443"), Service: "files"},
+}
+
+// serviceAt returns the service that a route leads to.
+func serviceAt(address netip.AddrPort) core.ServiceName {
+	for _, r := range routes {
+		if r.Address == address {
+			return r.Service
+		}
 	}
+	return ""
 }
 
 func (d *deployment) entryAddresses() []netip.AddrPort {
 	var addresses []netip.AddrPort
 	for i := range byte(entries) {
-		addresses = append(addresses, d.at(groupEntry, i+1, portPackets))
+		addresses = append(addresses, d.at(groupEntry, i+1, platformtest.PortPackets))
 	}
 	return addresses
 }
 
 // serves reports whether flows of every route open before ctx is done.
 func (d *deployment) serves(ctx context.Context) bool {
-	c, err := packets.NewCaller(d.at(groupCaller, callers+1, portPackets))
+	c, err := packets.NewCaller(d.at(groupCaller, callers+1, platformtest.PortPackets))
 	if err != nil {
 		return false
 	}
 	defer c.Close()
-	for route := range d.routes() {
-		for !d.opens(c, route) {
+	for _, route := range routes {
+		for !d.opens(c, route.Address) {
 			if ctx.Err() != nil {
 				return false
 			}
--- a/soak/work.go
+++ b/soak/work.go
@@ -3,18 +3,17 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"os"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
+	"zinniapulley.dev/platform/platformtest"
 	"zinniapulley.dev/standin/packets"
 )
 
@@ -24,6 +23,10 @@
 	// drainBound is how long after its acknowledgement a draining backend server may
 	// still get opening packets: those that were delivered before.
 	drainBound = time.Second
+	// slots is what each backend server says that it runs at once, bornFirst the time
+	// of birth before its first start.
+	slots     = 20
+	bornFirst = 1_000_000
 	// maxFlows is the most flows that a caller keeps open.
 	maxFlows = 12
 	// orderPause is the longest pause between two orders.
@@ -32,7 +35,7 @@
 
 // opening checks an opening packet that a backend server took.
 func (d *deployment) opening(b *backend, route netip.AddrPort) {
-	if service := d.routes()[route]; service != b.service {
+	if service := serviceAt(route); service != b.service {
 		d.watch.violation("%s of service %s got a flow of service %q", b.server.Name, b.service, service)
 	}
 	drainedAt := b.drainedAt.Load()
@@ -64,13 +67,12 @@
 	b.lock.Lock()
 	b.number++
 	start, draining := b.start, b.draining
-	state := "ready"
-	if draining {
-		state = "draining"
+	a := platformtest.Announcement{
+		Server: fmt.Sprintf("%s-%d", b.server.Name, start), Service: b.service, DataCentre: b.zone, Draining: draining,
+		Slots: slots, Number: b.number, Born: int64(bornFirst + start),
 	}
-	body := fmt.Sprintf(`{"service":%q,"address":"127.0.0.1:1","zone":%q,"version":"v1","slots":20,"state":%q,"coldLeftMs":0,"seq":%d,"born":%d}`, b.service, b.zone, state, b.number, 1_000_000+start)
 	b.lock.Unlock()
-	status, _, err := call(ctx, http.MethodPut, fmt.Sprintf("%s/zinniapulley/instances/%s-%d", b.announce, b.server.Name, start), body)
+	status, _, err := call(ctx, http.MethodPut, b.announce+a.Path(), a.Body())
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	if err == nil && status == http.StatusOK && draining && b.start == start && b.drainedAt.Load() == 0 {
@@ -106,7 +108,7 @@
 
 // call opens flows and uses them until ctx is done.
 func (d *deployment) call(ctx context.Context, number byte) {
-	c, err := packets.NewCaller(d.at(groupCaller, number+1, portPackets))
+	c, err := packets.NewCaller(d.at(groupCaller, number+1, platformtest.PortPackets))
 	if err != nil {
 		d.watch.violation("%v", err)
 		return
@@ -132,7 +134,7 @@
 
 // open opens a flow of a random route, and returns none if it doesn't open.
 func (d *deployment) open(c *packets.Caller, random *rand.Rand) []held {
-	route := netip.MustParseAddrPort([]string{"198.18.0.1:443", "198.18.0.2:443"}[random.IntN(2)])
+	route := routes[random.IntN(len(routes))].Address
 	addresses := d.entryAddresses()
 	random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	f, err := c.Open(route, addresses...)
@@ -185,27 +187,13 @@
 	acknowledged int
 }
 
-func (o *operator) url(path string) string {
-	return "http://" + o.deployment.seeds[o.random.IntN(controls)].String() + "/zinniapulley/" + path
+// url is the configuration's at one of the control instances.
+func (o *operator) url() string {
+	return "http://" + o.deployment.seeds[o.random.IntN(controls)].String() + platformtest.ConfigurationPath
 }
 
 func document(version int) string {
-	type share struct {
-		Service string `json:"service"`
-		Weight  int    `json:"weight"`
-	}
-	var routes []map[string]any
-	for i, service := range []string{"feed", "files"} {
-		routes = append(routes, map[string]any{
-			"name": service, "host": fmt.Sprintf("198.18.0.%d", i+1), "prefix": "/443/", "type": "safe", "timeoutMs": 1000 + version,
-			"latencySloMs": 500, "priority": 1, "backends": []share{{service, 100}},
-		})
-	}
-	body, _ := json.Marshal(map[string]any{
-		"version": version, "routes": routes, "limits": map[string]any{"idleTimeoutMs": 15000},
-		"services": []map[string]any{{"name": "feed", "maxConns": 2000}, {"name": "files", "maxConns": 2000}},
-	})
-	return string(body)
+	return platformtest.Configuration{Version: version, Routes: routes}.Body()
 }
 
 // first puts the first configuration in force.
@@ -224,7 +212,7 @@
 
 // put submits a version and reports whether it was acknowledged.
 func (o *operator) put(ctx context.Context, version int) bool {
-	status, answer, err := call(ctx, http.MethodPut, o.url("config"), document(version))
+	status, answer, err := call(ctx, http.MethodPut, o.url(), document(version))
 	if err == nil && status >= 400 && status < 500 {
 		o.watch.violation("version %d was refused with %d: %s", version, status, bytes.TrimSpace(answer))
 	}
@@ -247,7 +235,7 @@
 		case 1:
 			o.put(ctx, 1+o.random.IntN(o.version))
 		case 2:
-			status, _, err := call(ctx, http.MethodPut, o.url("config"), document(o.version + 1)[:60])
+			status, _, err := call(ctx, http.MethodPut, o.url(), document(o.version + 1)[:60])
 			if err == nil && status == http.StatusOK {
 				o.watch.violation("a configuration that was cut short was accepted")
 			}
@@ -260,14 +248,13 @@
 // read reads the configuration back and reports whether it was answered.
 func (o *operator) read(ctx context.Context) bool {
 	atLeast := o.acknowledged
-	status, answer, err := call(ctx, http.MethodGet, o.url("config"), "")
+	status, answer, err := call(ctx, http.MethodGet, o.url(), "")
 	if err != nil || status != http.StatusOK {
 		return false
 	}
-	var body struct{ Version int }
-	err = json.Unmarshal(answer, &body)
-	if err != nil || body.Version < atLeast || string(answer) != document(body.Version) {
-		o.watch.violation("version %d was read back after %d was acknowledged (%v)", body.Version, atLeast, err)
+	version, err := platformtest.VersionOf(answer)
+	if err != nil || version < atLeast || string(answer) != document(version) {
+		o.watch.violation("version %d was read back after %d was acknowledged (%v)", version, atLeast, err)
 	}
 	return true
 }
@@ -289,11 +276,6 @@
 
 // later marks that a process is no longer at its first start.
 func (d *deployment) later(p *process) {
-	settings, err := os.ReadFile(p.settings)
-	if err == nil {
-		err = os.WriteFile(p.settings, bytes.Replace(settings, []byte("bootstrap = true"), []byte("bootstrap = false"), 1), 0o600)
-	}
-	if err != nil {
-		d.watch.violation("settings of %s not changed: %v", p.name, err)
-	}
+	p.settings.First = false
+	d.write(p)
 }
--- a/tools/importrule/importrule.go
+++ b/tools/importrule/importrule.go
@@ -38,9 +38,8 @@
 	"X-Zinniapulley",
 }
 
-// adapters are the folders that may use them: the adapter, and the soak, which plays
-// the platform.
-var adapters = []string{"platform", "deploy", "tools", "soak"}
+// adapters are the folders that may use them.
+var adapters = []string{"platform", "deploy", "tools"}
 
 // forbiddenImports lists imports that do I/O, read a clock or encode messages.
 var forbiddenImports = map[string]bool{
