--- a/passthrough/gate_test.go
+++ b/passthrough/gate_test.go
@@ -347,3 +347,17 @@
 	g.Expect(actions[0].Kind).To(gomega.Equal(passthrough.GateNote))
 	g.Expect(actions[0].Note.Kind).To(gomega.Equal(passthrough.NoteAbsent))
 }
+
+func BenchmarkDeliver(b *testing.B) {
+	gate := passthrough.NewGate(start, gateConfig())
+	gate.SetTable(start, table(1))
+	target, _ := passthrough.NewRegistration(start, gateConfig().AnnouncementLimit).Announce(start, announcement(1))
+	gate.SetTarget(target)
+	gate.FromEntry(start, entryAt, false, 1, syn(1))
+	gate.FromServer(start, &passthrough.Packet{Key: flowKey(1), Flags: core.TCPSyn | core.TCPAck, Seq: 5000})
+	p := data(1, 5001)
+	b.ReportAllocs()
+	for b.Loop() {
+		gate.FromEntry(start, entryAt, false, 1, p)
+	}
+}
