--- a/passthrough/dispatcher.go
+++ b/passthrough/dispatcher.go
@@ -222,7 +222,7 @@
 // exhausted answers an opening packet that no further companion can take.
 func (d *Dispatcher) exhausted(now time.Time, p *Packet, flow *cached) {
 	if len(flow.asked) == 0 {
-		delete(d.flows, p.Key)
+		d.forget(p.Key, flow)
 		if now.Sub(d.started) < startGrace {
 			d.drop(p, ReasonStarting)
 			return
@@ -239,7 +239,7 @@
 		}
 	}
 	busy := flow.busy && p.Ack < callerCopies
-	delete(d.flows, p.Key)
+	d.forget(p.Key, flow)
 	if busy {
 		// The caller's next copy is tried again: by then there may be room.
 		d.drop(p, ReasonBusy)
@@ -316,7 +316,7 @@
 	}
 	found := d.table.Route(p.Key.Service)
 	if found == nil {
-		delete(d.flows, p.Key)
+		d.forget(p.Key, flow)
 		d.reset(p, ReasonNoRoute)
 		return d.out
 	}
@@ -407,6 +407,12 @@
 	}
 }
 
+// forget drops a flow from the cache, and what is kept for its search.
+func (d *Dispatcher) forget(key core.FlowKey, flow *cached) {
+	d.endSearch(flow)
+	delete(d.flows, key)
+}
+
 // Sweep forgets flows and companions that were not heard of for long. It is called
 // several times a second.
 func (d *Dispatcher) Sweep(now time.Time) {
@@ -422,8 +428,7 @@
 	for key, flow := range d.flows {
 		idle := now.Sub(flow.seen)
 		if idle > cacheIdle || (flow.closing && idle > closedIdle) {
-			d.endSearch(flow)
-			delete(d.flows, key)
+			d.forget(key, flow)
 		}
 	}
 	gone := false
--- a/passthrough/dispatcher_test.go
+++ b/passthrough/dispatcher_test.go
@@ -386,3 +386,19 @@
 	d.Handle(later, data(1, 5001))
 	g.Expect(targets(d.Note(later, companionAt(1), absent), passthrough.DispatchReset)).To(gomega.HaveLen(1))
 }
+
+// A flow that was sought and then refused left its kept packet counted, until no
+// packet of any flow was kept any more.
+func TestRefusedFlowFreesTheRoomOfItsSearch(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(2)
+	for port := range 300 {
+		first := targets(d.Handle(start, syn(port)), passthrough.DispatchForward)[0]
+		d.NotHere(start, first, data(port, 5001))
+		second := targets(d.Handle(start, syn(port)), passthrough.DispatchForward)[0]
+		d.Refused(start, second, passthrough.ReasonFull, syn(port))
+	}
+	d.Handle(start, data(1000, 5001))
+	actions := d.Note(start, companionAt(1), passthrough.Note{Kind: passthrough.NoteOpened, Key: flowKey(1000)})
+	g.Expect(targets(actions, passthrough.DispatchForward)).To(gomega.Equal([]netip.AddrPort{companionAt(1)}))
+}
--- a/passthrough/search.go
+++ b/passthrough/search.go
@@ -187,8 +187,7 @@
 		return
 	}
 	ack := s.ack
-	d.endSearch(flow)
-	delete(d.flows, key)
+	d.forget(key, flow)
 	d.out = append(d.out, Dispatch{Kind: DispatchReset, Reason: ReasonFlowLost, Packet: &Packet{Key: key}, ResetSeq: ack})
 }
 
