Share the hello and the offer, and drop what nothing used

Found on reading the change: entry instances and companions each had the loop that sends hellos, the offer to callers was built in two places, and durable.File's ReadAt and feed.Update's Confirmed had no user. Behaviour stays.

--- a/durable/durable.go
+++ b/durable/durable.go
@@ -26,7 +26,6 @@
 // File is what a Folder needs of an open file.
 type File interface {
 	io.Writer
-	io.ReaderAt
 	io.Closer
 	Sync() error
 	Truncate(size int64) error
--- a/durable/files_test.go
+++ b/durable/files_test.go
@@ -224,11 +224,4 @@
 	return offset, nil
 }
 
-func (o *openFile) ReadAt(data []byte, at int64) (int, error) {
-	if at >= int64(len(o.file.content)) {
-		return 0, io.EOF
-	}
-	return copy(data, o.file.content[at:]), nil
-}
-
 func (o *openFile) Close() error { return nil }
--- a/roles/companion/control.go
+++ b/roles/companion/control.go
@@ -7,6 +7,7 @@
 	"zinniapulley.dev/loop"
 	"zinniapulley.dev/passthrough"
 	"zinniapulley.dev/roles/feed"
+	"zinniapulley.dev/roles/traffic"
 	"zinniapulley.dev/route"
 	"zinniapulley.dev/wire/hop"
 )
@@ -48,19 +49,9 @@
 		c.helloDue = now.Add(goodbyeInterval)
 	}
 	config := &c.companion.config
-	datagram, err := hop.EncodeHello(hop.Hello{
+	traffic.SendHello(c.companion.peers, c.controls, hop.Hello{
 		Packets: config.Packets, Companion: true, Draining: c.registration.Target().Draining, Leaving: c.leaving,
-	})
-	if err != nil {
-		config.Log.Error("hello not sent", "error", err)
-		return
-	}
-	for _, to := range c.controls {
-		_, err = c.companion.peers.WriteToUDPAddrPort(datagram, to)
-		if err != nil {
-			config.Log.Debug("hello not sent", "to", to, "error", err)
-		}
-	}
+	}, config.Log)
 }
 
 // change puts a changed copy of the packet path's state in force.
--- a/roles/control/sync.go
+++ b/roles/control/sync.go
@@ -34,7 +34,7 @@
 // answerWaiters answers the calls that have waited long enough, and all whose
 // answer has changed.
 func (h *handler) answerWaiters(now time.Time) {
-	offered := offer{current: h.current(), revision: h.state.Revision, digest: h.peers.digest}
+	offered := h.offer()
 	if offered != h.answered {
 		h.answered = offered
 		h.waiters = slices.DeleteFunc(h.waiters, func(w waiter) bool {
@@ -53,6 +53,11 @@
 	h.waiters = slices.Delete(h.waiters, 0, overdue)
 }
 
+// offer returns what instances can be told now.
+func (h *handler) offer() offer {
+	return offer{current: h.current(), revision: h.state.Revision, digest: h.peers.digest}
+}
+
 // has reports whether a caller has what is offered.
 func (o offer) has(request wire.SyncRequest) bool {
 	return o.current && request.Revision >= o.revision && request.Peers == o.digest
@@ -106,7 +111,7 @@
 }
 
 func (e syncQuestion) handle(h *handler, now time.Time) {
-	offered := offer{current: h.current(), revision: h.state.Revision, digest: h.peers.digest}
+	offered := h.offer()
 	if !offered.has(e.request) {
 		e.reply.Answer(h.syncReply(e.request))
 		return
--- a/roles/entry/entry.go
+++ b/roles/entry/entry.go
@@ -135,17 +135,7 @@
 // Wake tells the control instances of this entry instance.
 func (c *control) Wake(now time.Time) {
 	c.helloDue = now.Add(helloInterval)
-	datagram, err := hop.EncodeHello(hop.Hello{Packets: c.entry.config.Peers})
-	if err != nil {
-		c.entry.config.Log.Error("hello not sent", "error", err)
-		return
-	}
-	for _, to := range c.controls {
-		_, err = c.entry.peers.WriteToUDPAddrPort(datagram, to)
-		if err != nil {
-			c.entry.config.Log.Debug("hello not sent", "to", to, "error", err)
-		}
-	}
+	traffic.SendHello(c.entry.peers, c.controls, hop.Hello{Packets: c.entry.config.Peers}, c.entry.config.Log)
 }
 
 func (u updated) handle(c *control, now time.Time) {
--- a/roles/feed/feed.go
+++ b/roles/feed/feed.go
@@ -37,9 +37,6 @@
 
 // Update is what an answer brought.
 type Update struct {
-	// Confirmed is when the answer was asked for: what is in force is at least as
-	// new as what was then.
-	Confirmed time.Time
 	// View is nil when it hasn't changed.
 	View *route.View
 	// Entries and Controls list addresses; they are nil when they haven't changed.
@@ -117,7 +114,6 @@
 		f.at = f.next()
 		f.client = wire.NewClient(f.at)
 	}
-	asked := time.Now()
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply wire.SyncReply
@@ -125,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	return f.take(ctx, asked, reply)
+	return f.take(ctx, reply)
 }
 
 // next returns a control instance at random, another than the last one if there
@@ -143,12 +139,12 @@
 }
 
 // take hands the news of an answer on.
-func (f *feed) take(ctx context.Context, asked time.Time, reply wire.SyncReply) error {
+func (f *feed) take(ctx context.Context, reply wire.SyncReply) error {
 	if reply.Behind && f.request.Revision > 0 {
 		f.learnControls(reply.Controls)
 		return core.At("sync", core.Peer(f.at.String()), errBehind)
 	}
-	update := Update{Confirmed: asked, View: reply.View}
+	update := Update{View: reply.View}
 	if reply.Peers != f.request.Peers {
 		update.Entries = parse(reply.Entries)
 		update.Controls = parse(reply.Controls)
