--- a/admission/slots_pressure.go
+++ b/admission/slots_pressure.go
@@ -6,6 +6,10 @@
 // running mean of latencies.
 const baselineWeight = 16
 
+// fairFactor is how many times the usual latency a request must have run for
+// its time-out to count as a slow answer.
+const fairFactor = 2
+
 // pressure is the bound on running requests that a backend server's answers
 // support. Answers in time raise it by one at a time; refusals, broken
 // connections and a run of slow answers cut it at once.
@@ -57,7 +61,7 @@
 		p.fall()
 		p.startPause(now)
 	case SlotTimedOut:
-		p.slowAnswer()
+		p.timedOut(latency)
 	case SlotCancelled, SlotWithdrawn:
 		// Says nothing about the backend server.
 	}
@@ -81,6 +85,14 @@
 	}
 }
 
+// timedOut counts a request that got no answer in time as slow. One that had
+// hardly any time says nothing about the backend server.
+func (p *pressure) timedOut(after time.Duration) {
+	if after >= p.baseline*fairFactor {
+		p.slowAnswer()
+	}
+}
+
 func (p *pressure) isSlow(latency time.Duration) bool {
 	return p.baseline > 0 && latency > p.baseline*time.Duration(p.limits.SlowFactor)
 }
--- a/admission/slots_test.go
+++ b/admission/slots_test.go
@@ -238,3 +238,24 @@
 	s.Restarted(2)
 	g.Expect(s.Reserve(slotEpoch, attempt(2))).To(gomega.Equal(admission.SlotFull))
 }
+
+func TestTimeOutOfARequestThatHadHardlyAnyTimeSaysNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSlots(admission.DefaultSlotLimits(5))
+	now := warm(s, slotEpoch, 5)
+	timeOut := func(n int, after time.Duration) {
+		s.Reserve(now, attempt(n))
+		s.Start(now, attempt(n))
+		now = now.Add(after)
+		s.Finish(now, attempt(n), admission.SlotTimedOut)
+	}
+	for n := range 5 {
+		timeOut(n, time.Millisecond)
+	}
+	now = now.Add(time.Minute)
+	g.Expect(s.Counts(now).Bound).To(gomega.Equal(5))
+	for n := range 3 {
+		timeOut(10+n, 30*time.Millisecond)
+	}
+	g.Expect(s.Counts(now).Bound).To(gomega.Equal(1))
+}
--- a/measure/requests_run.go
+++ b/measure/requests_run.go
@@ -99,6 +99,9 @@
 			}
 		})
 	}
+	shedSome := func(share float64) func(*virtual.World) {
+		return everyone(func(c *virtual.Companion) { c.Backend.ShedShare = share })
+	}
 	shed := func(shedding bool) func(*virtual.World) {
 		return everyone(func(c *virtual.Companion) { c.Backend.Shedding = shedding })
 	}
@@ -111,6 +114,7 @@
 		}},
 		{name: "data centre out and back at 50%", load: 0.5, events: []worldEvent{{0.33, centre(false)}, {0.66, centre(true)}}},
 		{name: "all shed for a while at 50%", load: 0.5, events: []worldEvent{{0.33, shed(true)}, {0.5, shed(false)}}},
+		{name: "a third shed at random at 20%", load: 0.2, events: []worldEvent{{0, shedSome(1.0 / 3)}}},
 	}
 }
 
--- a/request/limits.go
+++ b/request/limits.go
@@ -11,7 +11,7 @@
 	// MaxWait is the longest that a request waits before it first runs.
 	MaxWait time.Duration
 	// MinRun is the least time that must be left before the deadline for a
-	// request to be run at all.
+	// request to be run at all, however short the usual run is.
 	MinRun time.Duration
 	// HopMargin is what the deadline shrinks by from one process to the next.
 	HopMargin time.Duration
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -34,6 +34,9 @@
 	if e.Load != nil {
 		c.peers.learn(now, r.peer, *e.Load)
 	}
+	if e.Result == RunAnswered {
+		c.runTimes.learn(now.Sub(r.started))
+	}
 	if r.phase == phaseDelivering {
 		c.deliveryEnded(r, e.Result)
 		return
@@ -97,7 +100,7 @@
 	backoff := c.backoff(r.runs)
 	r.runs++
 	again := now.Add(backoff)
-	r.waitUntil = c.waitUntil(again, r.deadline)
+	r.waitUntil = c.waitUntil(again, r)
 	if !again.Before(r.waitUntil) || !c.budget.spend() {
 		c.refuse(r, reason)
 		return
--- a/request/request.go
+++ b/request/request.go
@@ -27,6 +27,7 @@
 type pending struct {
 	id         core.RequestID
 	order      uint64
+	arrival    time.Time
 	deadline   time.Time
 	waitUntil  time.Time
 	repeatable bool
@@ -35,6 +36,8 @@
 	// attempt and peer are the current try and where it was asked for.
 	attempt uint32
 	peer    core.InstanceID
+	// started is when the current attempt was handed out to run.
+	started time.Time
 	// runs counts the attempts that a backend server shed, refused or lost.
 	runs int
 	// reached is true once a part of the request may have reached a backend
@@ -72,6 +75,7 @@
 	random   *rand.Rand
 	peers    peers
 	budget   budget
+	runTimes runTimes
 	requests map[core.RequestID]*pending
 	// queue holds the queued requests in the order of their arrival.
 	queue     []*pending
--- a/request/slots.go
+++ b/request/slots.go
@@ -19,12 +19,13 @@
 	r := &pending{
 		id:         e.ID,
 		order:      c.arrivals,
+		arrival:    now,
 		deadline:   e.Deadline,
-		waitUntil:  c.waitUntil(now, e.Deadline),
 		repeatable: e.Repeatable,
 		keyed:      e.Keyed,
 		lastReason: ReasonNoSlot,
 	}
+	r.waitUntil = c.waitUntil(now, r)
 	c.requests[r.id] = r
 	if len(c.queue) >= c.limits.MaxQueue {
 		c.refuse(r, ReasonQueueFull)
@@ -35,8 +36,8 @@
 
 // waitUntil returns how long a request that is queued at the given time waits
 // for a slot.
-func (c *Core) waitUntil(queued, deadline time.Time) time.Time {
-	lastStart := deadline.Add(-c.limits.MinRun)
+func (c *Core) waitUntil(queued time.Time, r *pending) time.Time {
+	lastStart := r.deadline.Add(-c.needed(r.arrival, r.deadline))
 	return earlier(lastStart, queued.Add(c.limits.MaxWait))
 }
 
@@ -138,7 +139,7 @@
 	if r.peer != c.peers.self {
 		timeout -= c.limits.HopMargin
 	}
-	if timeout < c.limits.MinRun {
+	if timeout < c.needed(r.arrival, r.deadline) {
 		c.do(Cancel{Attempt: r.attemptID(), Peer: r.peer})
 		c.refuse(r, ReasonNoSlot)
 		return
@@ -151,6 +152,7 @@
 		c.counts.PassedOn++
 	}
 	r.phase = phaseRunning
+	r.started = now
 	c.set(r, r.deadline)
 	c.do(Run{Attempt: r.attemptID(), Peer: r.peer, Timeout: timeout})
 }
--- a/standin/virtual/backend.go
+++ b/standin/virtual/backend.go
@@ -34,6 +34,8 @@
 	running  map[core.AttemptID]*work
 	// Shedding makes it refuse every request.
 	Shedding bool
+	// ShedShare is the share of requests that it refuses at random.
+	ShedShare float64
 	// Unreachable makes it accept no connection.
 	Unreachable bool
 	// Highest is the most requests that ever ran at once.
@@ -92,7 +94,7 @@
 	}
 	b.Offered++
 	b.world.Ledger.offered++
-	if b.Shedding || (len(b.running) >= b.bears() && !b.options.Overruns) {
+	if b.Shedding || b.shedsAtRandom() || (len(b.running) >= b.bears() && !b.options.Overruns) {
 		report(request.RunShed)
 		return
 	}
@@ -109,6 +111,10 @@
 	b.world.After(length, func() { b.finish(id, done) })
 }
 
+func (b *Backend) shedsAtRandom() bool {
+	return b.ShedShare > 0 && b.world.random.Float64() < b.ShedShare
+}
+
 func (b *Backend) runs(id core.AttemptID, w *work) bool {
 	return b.running[id] == w && w.report != nil
 }
