--- a/durable/crash_test.go
+++ b/durable/crash_test.go
@@ -116,12 +116,31 @@
 	}
 	for i := max(reported, 0); i < len(states); i++ {
 		if reflect.DeepEqual(opened.Base(), states[i]) {
+			checkGoesOn(t, files, opened, where)
 			return
 		}
 	}
 	t.Fatalf("%s: after %d reported saves the folder holds %+v", where, reported, opened.Base())
 }
 
+// checkGoesOn saves more in a folder that was opened after a loss of power, and cuts
+// the power again.
+func checkGoesOn(t *testing.T, files *memoryFiles, opened *durable.Folder, where string) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(7, 7))
+	for i := range 3 {
+		err := opened.Save([]consensus.Persist{action(random, 100+i)})
+		if err != nil {
+			t.Fatalf("%s, saving more: %v", where, err)
+		}
+	}
+	files.losePower(random)
+	again, found, err := durable.Open(files, folder)
+	if err != nil || !found || !reflect.DeepEqual(again.Base(), opened.Base()) {
+		t.Fatalf("%s: after more saves and another loss of power found %v, error %v", where, found, err)
+	}
+}
+
 // A disk that refuses writes for a while loses nothing, and takes the same state
 // once it has room.
 func TestFullDiskRefusesAndRecovers(t *testing.T) {
--- a/durable/disk.go
+++ b/durable/disk.go
@@ -33,6 +33,11 @@
 	return os.ReadFile(name)
 }
 
+// Open opens a file that is there for writing.
+func (Disk) Open(name string) (File, error) {
+	return os.OpenFile(name, os.O_RDWR, fileMode)
+}
+
 // Create opens an empty file for writing.
 func (Disk) Create(name string) (File, error) {
 	return os.OpenFile(name, os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -10,7 +10,7 @@
 
 import (
 	"bytes"
-	"encoding/gob"
+	"cmp"
 	"fmt"
 	"io"
 	"path/filepath"
@@ -39,6 +39,8 @@
 	ReadFile(name string) ([]byte, error)
 	// Create opens an empty file for writing, whether or not it was there.
 	Create(name string) (File, error)
+	// Open opens a file that is there for writing.
+	Open(name string) (File, error)
 	Rename(from, to string) error
 	Remove(name string) error
 	// SyncFolder makes created, renamed and removed names durable.
@@ -48,9 +50,12 @@
 const (
 	generationPrefix = "log-"
 	temporarySuffix  = ".new"
-	// maxGenerationBytes is the size, in bytes, beyond which a file is replaced
-	// by a new generation with the present state alone.
-	maxGenerationBytes = 8 << 20
+	// minGenerationBytes is the least size, in bytes, at which a file is replaced by
+	// a new generation with the present state alone. A start has to read the file.
+	minGenerationBytes = 1 << 20
+	// generationGrowth is how many times the size of its base a file may have, so
+	// that a large state isn't written again for each small change.
+	generationGrowth = 3
 )
 
 // Base is the state with which a generation begins.
@@ -65,6 +70,10 @@
 	path       string
 	generation uint64
 	file       File
+	// writer encodes the records that are appended.
+	writer *recordWriter
+	// limit is the size at which a new generation begins.
+	limit int64
 	// size is how many bytes of the file are whole records.
 	size int64
 	base Base
@@ -89,18 +98,48 @@
 		if err != nil {
 			return nil, false, core.At("read log", core.Peer(f.name(generation)), err)
 		}
-		base, whole := replay(data)
+		base, size, whole := replay(data)
 		if !whole {
 			continue
 		}
 		f.base = base
-		// What was read may not have been synced, and what follows the last whole
-		// record never was. A new generation settles both.
-		return f, true, f.rotate()
+		return f, true, f.goOn(generation, size)
 	}
 	return f, false, nil
 }
 
+// goOn has the next records appended to the newest generation that is whole. What
+// was read may not have been synced, and what follows the last whole record never
+// was: the first is synced and the second cut off. Where that fails, a new generation
+// settles both.
+func (f *Folder) goOn(generation uint64, size int64) error {
+	file, err := f.files.Open(f.name(generation))
+	if err != nil {
+		return f.rotate()
+	}
+	err = file.Truncate(size)
+	if err == nil {
+		err = file.Sync()
+	}
+	if err == nil {
+		err = f.files.SyncFolder(f.path)
+	}
+	if err != nil {
+		_ = file.Close()
+		return f.rotate()
+	}
+	f.generation = generation
+	f.use(file, size)
+	return f.removeOld()
+}
+
+// use makes the file the one that records are appended to.
+func (f *Folder) use(file File, size int64) {
+	f.file, f.size = file, size
+	f.writer = newRecordWriter()
+	f.limit = max(minGenerationBytes, generationGrowth*size)
+}
+
 // generationsOf returns the numbers of the generations in rising order.
 func generationsOf(names []string) []uint64 {
 	var generations []uint64
@@ -139,7 +178,10 @@
 
 // Base returns the state as last saved.
 func (f *Folder) Base() Base {
-	return f.base
+	base := f.base
+	// Room behind the entries is the folder's own.
+	base.Stored.Entries = slices.Clip(base.Stored.Entries)
+	return base
 }
 
 // Save stores the parts of Persist actions, in order, and syncs once. After an
@@ -149,18 +191,20 @@
 	next := f.base
 	for _, action := range actions {
 		next.Stored = merge(next.Stored, action)
-		err := appendRecord(&buffer, record{
+		err := f.writer.append(&buffer, record{
 			HardState: action.HardState, Snapshot: action.Snapshot, Reset: action.Reset, Entries: action.Entries, Commit: action.Commit,
 		})
 		if err != nil {
+			f.writer = newRecordWriter()
 			return core.At("encode record", core.Peer(f.path), err)
 		}
 	}
-	if f.file == nil || f.size+int64(buffer.Len()) > maxGenerationBytes {
+	if f.file == nil || f.size+int64(buffer.Len()) > f.limit {
 		return f.saveAsBase(next)
 	}
 	err := f.append(buffer.Bytes())
 	if err != nil {
+		f.writer = newRecordWriter()
 		return err
 	}
 	f.base = next
@@ -215,7 +259,7 @@
 // rotate stores the whole state as a new generation and removes older ones.
 func (f *Folder) rotate() error {
 	var buffer bytes.Buffer
-	err := appendRecord(&buffer, record{Base: &f.base})
+	err := newRecordWriter().append(&buffer, record{Base: &f.base})
 	if err != nil {
 		return core.At("encode state", core.Peer(f.path), err)
 	}
@@ -227,7 +271,8 @@
 	if f.file != nil {
 		_ = f.file.Close()
 	}
-	f.file, f.size, f.generation = file, int64(buffer.Len()), generation
+	f.generation = generation
+	f.use(file, int64(buffer.Len()))
 	return f.removeOld()
 }
 
@@ -296,21 +341,27 @@
 	}
 	stored.Commit = max(stored.Commit, action.Commit)
 	if len(action.Entries) > 0 {
-		first := action.Entries[0].Index
-		kept := slices.DeleteFunc(slices.Clone(stored.Entries), func(e consensus.Entry) bool { return e.Index >= first })
+		kept := entriesBefore(stored.Entries, action.Entries[0].Index)
 		stored.Entries = entriesAfter(append(kept, action.Entries...), stored.Snapshot.Index)
 	}
 	return stored
 }
 
+// entriesBefore returns the entries before the index, to append to: what they share
+// with the caller's is never written over.
+func entriesBefore(entries []consensus.Entry, index consensus.Index) []consensus.Entry {
+	if len(entries) == 0 || entries[len(entries)-1].Index < index {
+		return entries
+	}
+	at, _ := slices.BinarySearchFunc(entries, index, compareIndex)
+	return slices.Clip(entries[:at])
+}
+
+func compareIndex(e consensus.Entry, index consensus.Index) int { return cmp.Compare(e.Index, index) }
+
 // entriesAfter returns the entries behind the index.
 func entriesAfter(entries []consensus.Entry, index consensus.Index) []consensus.Entry {
-	first, _ := slices.BinarySearchFunc(entries, index, func(e consensus.Entry, i consensus.Index) int {
-		if e.Index <= i {
-			return -1
-		}
-		return 1
-	})
+	first, _ := slices.BinarySearchFunc(entries, index+1, compareIndex)
 	return entries[first:]
 }
 
@@ -323,9 +374,3 @@
 	Entries   []consensus.Entry
 	Commit    consensus.Index
 }
-
-func encodeGob(value any) ([]byte, error) {
-	var buffer bytes.Buffer
-	err := gob.NewEncoder(&buffer).Encode(value)
-	return buffer.Bytes(), err
-}
--- a/durable/durabletest/durabletest.go
+++ b/durable/durabletest/durabletest.go
@@ -25,6 +25,12 @@
 	return stallingFile{File: file, stalled: d.Stalled}, err
 }
 
+// Open opens a file that is there for writing.
+func (d StallingDisk) Open(name string) (durable.File, error) {
+	file, err := d.Disk.Open(name)
+	return stallingFile{File: file, stalled: d.Stalled}, err
+}
+
 type stallingFile struct {
 	durable.File
 	stalled *atomic.Bool
--- a/durable/files_test.go
+++ b/durable/files_test.go
@@ -153,6 +153,14 @@
 	return &openFile{files: m, file: f}, m.step()
 }
 
+func (m *memoryFiles) Open(name string) (durable.File, error) {
+	f, ok := m.names[name]
+	if !ok {
+		return nil, os.ErrNotExist
+	}
+	return &openFile{files: m, file: f}, m.step()
+}
+
 func (m *memoryFiles) Rename(from, to string) error {
 	m.names[to] = m.names[from]
 	delete(m.names, from)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -62,8 +62,9 @@
 	upkeepInterval = 250 * time.Millisecond
 	// minVoters is the least number of voters that a removal may leave.
 	minVoters = 3
-	// snapshotBytes is how many bytes of commands are applied between snapshots.
-	snapshotBytes = 1 << 20
+	// snapshotBytes is how many bytes of commands are applied between snapshots. A
+	// start applies them again before it can tell anyone what is in force.
+	snapshotBytes = 256 << 10
 	// keepEntries is how many entries stay in memory behind a snapshot, for
 	// members that are a little behind.
 	keepEntries = 16
--- a/route/state.go
+++ b/route/state.go
@@ -82,15 +82,15 @@
 	if next.Version <= s.Configuration.Version && s.Configuration.Source != nil {
 		return false
 	}
-	before := make(map[string]*Route, len(s.Configuration.Routes))
+	before := make(map[netip.AddrPort]*Route, len(s.Configuration.Routes))
 	for i := range s.Configuration.Routes {
 		route := &s.Configuration.Routes[i]
-		before[route.Address.String()] = route
+		before[route.Address] = route
 	}
 	next.Routes = slices.Clone(next.Routes)
 	for i := range next.Routes {
 		route := &next.Routes[i]
-		route.Former = formerServices(route, before[route.Address.String()])
+		route.Former = formerServices(route, before[route.Address])
 	}
 	s.Configuration = next
 	return true
