--- a/roles/control/control_test.go
+++ b/roles/control/control_test.go
@@ -50,12 +50,13 @@
 	}
 	for _, seed := range g.seeds {
 		g.stalled = append(g.stalled, &atomic.Bool{})
-		g.servers = append(g.servers, g.start(seed, t.TempDir(), true, durabletest.StallingDisk{Stalled: g.stalled[len(g.stalled)-1]}))
+		server, _ := g.start(seed, t.TempDir(), true, durabletest.StallingDisk{Stalled: g.stalled[len(g.stalled)-1]})
+		g.servers = append(g.servers, server)
 	}
 	return g
 }
 
-func (g *group) start(at netip.AddrPort, folder string, first bool, files durable.FileSystem) *control.Server {
+func (g *group) start(at netip.AddrPort, folder string, first bool, files durable.FileSystem) (server *control.Server, stop func()) {
 	g.t.Helper()
 	server, err := control.New(control.Config{
 		Instance: core.InstanceID(at.Addr().String()), RPC: at, Seeds: func() []netip.AddrPort { return g.seeds }, First: first, Folder: folder,
@@ -71,7 +72,21 @@
 		cancel()
 		<-done
 	})
-	return server
+	return server, func() {
+		cancel()
+		done <- <-done
+	}
+}
+
+// sync asks an instance for news.
+func (g *group) sync(i int, revision core.Revision) (wire.SyncReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	client := wire.NewClient(g.seeds[i])
+	defer client.Close()
+	var reply wire.SyncReply
+	err := client.Call(ctx, wire.MethodSync, wire.SyncRequest{Instance: "x", Revision: revision}, &reply)
+	return reply, err
 }
 
 func configuration(version uint64) route.Configuration {
@@ -117,7 +132,7 @@
 		_, err := group.servers[0].Configure(context.Background(), configuration(5))
 		return err
 	})
-	joined := group.start(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 20}), group.seeds[0].Port()), t.TempDir(), false, durable.Disk{})
+	joined, _ := group.start(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 20}), group.seeds[0].Port()), t.TempDir(), false, durable.Disk{})
 	eventually(t, func() error {
 		_, err := joined.Configure(context.Background(), configuration(6))
 		return err
@@ -137,12 +152,7 @@
 		return err
 	})
 	sync := func(i int, revision core.Revision) wire.SyncReply {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		client := wire.NewClient(group.seeds[i])
-		defer client.Close()
-		var reply wire.SyncReply
-		err := client.Call(ctx, wire.MethodSync, wire.SyncRequest{Instance: "x", Revision: revision}, &reply)
+		reply, err := group.sync(i, revision)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		return reply
 	}
@@ -181,16 +191,15 @@
 
 // companions returns the companions that an instance tells others of.
 func (g *group) companions(i int) []route.Companion {
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	client := wire.NewClient(g.seeds[i])
-	defer client.Close()
-	var reply wire.SyncReply
-	err := client.Call(ctx, wire.MethodSync, wire.SyncRequest{Instance: "x"}, &reply)
-	if err != nil || reply.View == nil {
+	reply, err := g.sync(i, 0)
+	if err != nil {
 		return nil
 	}
-	return reply.View.Companions
+	view, err := reply.View.Decode()
+	if err != nil || view == nil {
+		return nil
+	}
+	return view.Companions
 }
 
 // A companion that may hold flows is listed until it says that it leaves without
@@ -208,3 +217,46 @@
 		return group.companions(2)
 	}, 20*time.Second, 50*time.Millisecond).Should(gomega.BeEmpty())
 }
+
+// slowDisk lets its folder be read only once it is released.
+type slowDisk struct {
+	durable.Disk
+	released chan struct{}
+}
+
+func (d slowDisk) ReadFile(name string) ([]byte, error) {
+	<-d.released
+	return d.Disk.ReadFile(name)
+}
+
+// A caller that has no view waits while the data folder is read, and gets what was
+// in force before the start in the same call.
+func TestCallerWithoutAViewWaitsForTheFolder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	folder := t.TempDir()
+	alone := &group{t: t, seeds: []netip.AddrPort{freeAddress(t)}}
+	before, stop := alone.start(alone.seeds[0], folder, true, durable.Disk{})
+	// That an order was committed is stored with the next one.
+	for _, version := range []uint64{4, 5} {
+		eventually(t, func() error {
+			_, err := before.Configure(context.Background(), configuration(version))
+			return err
+		})
+	}
+	stop()
+	disk := slowDisk{released: make(chan struct{})}
+	alone.start(alone.seeds[0], folder, false, disk)
+	replies := make(chan wire.SyncReply, 1)
+	go func() {
+		reply, _ := alone.sync(0, 0)
+		replies <- reply
+	}()
+	g.Consistently(replies, 200*time.Millisecond).ShouldNot(gomega.Receive())
+	close(disk.released)
+	var reply wire.SyncReply
+	g.Eventually(replies, 20*time.Second).Should(gomega.Receive(&reply))
+	view, err := reply.View.Decode()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(view).NotTo(gomega.BeNil())
+	g.Expect(view.Version).To(gomega.BeNumerically(">=", 4))
+}
--- a/roles/control/handler.go
+++ b/roles/control/handler.go
@@ -38,6 +38,8 @@
 	// waiters are ordered by due; answered is what those that wait have.
 	waiters  []waiter
 	answered offer
+	// encoded is the view that was sent last.
+	encoded encodedView
 	// now is the time of the event in hand.
 	now time.Time
 	// lagging is since when less is applied than is committed; zero if it isn't.
--- a/roles/control/sync.go
+++ b/roles/control/sync.go
@@ -24,6 +24,12 @@
 	digest   uint64
 }
 
+// encodedView is the view of a revision as it is sent.
+type encodedView struct {
+	revision core.Revision
+	view     wire.EncodedView
+}
+
 // waiter is a call that waits for a change.
 type waiter struct {
 	request wire.SyncRequest
@@ -99,11 +105,25 @@
 		reply.Entries, reply.Controls = h.peers.entries, h.peers.controls
 	}
 	if request.Revision < h.state.Revision {
-		reply.View = h.state.View()
+		reply.View = h.encodedView()
 	}
 	return reply
 }
 
+// encodedView returns the view as it is sent, empty if it can't be.
+func (h *handler) encodedView() wire.EncodedView {
+	if h.encoded.revision == h.state.Revision {
+		return h.encoded.view
+	}
+	view, err := wire.EncodeView(h.state.View())
+	if err != nil {
+		h.server.config.Log.Error("view not sent", "revision", h.state.Revision, "error", err)
+		return nil
+	}
+	h.encoded = encodedView{revision: h.state.Revision, view: view}
+	return view
+}
+
 // syncQuestion is a call for news.
 type syncQuestion struct {
 	request wire.SyncRequest
@@ -112,7 +132,10 @@
 
 func (e syncQuestion) handle(h *handler, now time.Time) {
 	offered := h.offer()
-	if !offered.has(e.request) {
+	// While the data folder is being read, a caller without a view waits for what
+	// was in force before the start.
+	reading := h.replica == nil && e.request.Revision == 0
+	if !reading && !offered.has(e.request) {
 		e.reply.Answer(h.syncReply(e.request))
 		return
 	}
--- a/roles/feed/feed.go
+++ b/roles/feed/feed.go
@@ -1,6 +1,7 @@
 // Package feed keeps an instance current: it asks control instances, one at a
 // time, for what has changed since the last answer, and goes on to the next one
-// when an answer fails, is late or is known to be behind.
+// when an answer fails, is late or is known to be behind. An instance that has just
+// started asks all seeds at once, since it can do nothing without a view.
 package feed
 
 import (
@@ -72,6 +73,7 @@
 func Run(ctx context.Context, config Config) {
 	f := &feed{config: config, controls: config.Seeds(), pause: pauseMin}
 	f.request.Instance = config.Instance
+	f.start(ctx)
 	for ctx.Err() == nil {
 		err := f.ask(ctx)
 		f.report(err)
@@ -114,16 +116,21 @@
 		f.at = f.next()
 		f.client = wire.NewClient(f.at)
 	}
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var reply wire.SyncReply
-	err := f.client.Call(limited, wire.MethodSync, f.request, &reply)
+	reply, err := call(ctx, f.client, f.request)
 	if err != nil {
 		return err
 	}
 	return f.take(ctx, reply)
 }
 
+func call(ctx context.Context, client *wire.Client, request wire.SyncRequest) (wire.SyncReply, error) {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply wire.SyncReply
+	err := client.Call(limited, wire.MethodSync, request, &reply)
+	return reply, err
+}
+
 // next returns a control instance at random, another than the last one if there
 // is one. Seeds stay in the draw, so that a wholly new set is found too.
 func (f *feed) next() netip.AddrPort {
@@ -144,17 +151,21 @@
 		f.learnControls(reply.Controls)
 		return core.At("sync", core.Peer(f.at.String()), errBehind)
 	}
-	update := Update{View: reply.View}
+	view, err := reply.View.Decode()
+	if err != nil {
+		return core.At("sync", core.Peer(f.at.String()), err)
+	}
+	update := Update{View: view}
 	if reply.Peers != f.request.Peers {
 		update.Entries = parse(reply.Entries)
 		update.Controls = parse(reply.Controls)
 		f.learnControls(reply.Controls)
 		f.request.Peers = reply.Peers
 	}
-	if reply.View != nil {
-		f.request.Revision = reply.View.Revision
+	if view != nil {
+		f.request.Revision = view.Revision
 	}
-	err := f.config.Post(ctx, update)
+	err = f.config.Post(ctx, update)
 	if err == nil && reply.Behind {
 		err = errBehind
 	}
--- /dev/null
+++ b/roles/feed/start_test.go
@@ -0,0 +1,106 @@
+package feed_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"zinniapulley.dev/roles/feed"
+	"zinniapulley.dev/route"
+	"zinniapulley.dev/wire"
+)
+
+// seed is a control instance that answers as it is told.
+type seed struct {
+	sync func(request wire.SyncRequest, reply *wire.SyncReply) error
+}
+
+// Sync answers wire.MethodSync.
+func (s *seed) Sync(request wire.SyncRequest, reply *wire.SyncReply) error {
+	return s.sync(request, reply)
+}
+
+// silentSeed takes connections and never answers.
+type silentSeed struct {
+	address netip.AddrPort
+	// open counts the connections that its callers keep open.
+	open atomic.Int64
+}
+
+func listenSilently(t *testing.T) *silentSeed {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &silentSeed{address: listener.Addr().(*net.TCPAddr).AddrPort()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.open.Add(1)
+			go func() {
+				_, _ = io.Copy(io.Discard, conn)
+				s.open.Add(-1)
+			}()
+		}
+	}()
+	return s
+}
+
+func startSeed(t *testing.T, ctx context.Context, sync func(wire.SyncRequest, *wire.SyncReply) error) netip.AddrPort {
+	t.Helper()
+	server, err := wire.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err == nil {
+		err = server.Register("Control", &seed{sync: sync})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve(ctx)
+	return server.Address()
+}
+
+// TestSeedsAreAskedAtOnceAtTheStart has one seed that never answers and one that
+// answers only while the other is being asked.
+func TestSeedsAreAskedAtOnceAtTheStart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	silent := listenSilently(t)
+	view, err := wire.EncodeView(&route.View{Revision: 5, Version: 3})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	answering := startSeed(t, ctx, func(request wire.SyncRequest, reply *wire.SyncReply) error {
+		reply.Behind = silent.open.Load() == 0
+		if request.Revision == 0 && !reply.Behind {
+			reply.View = view
+		}
+		return nil
+	})
+	updates := make(chan feed.Update, 100)
+	go feed.Run(ctx, feed.Config{
+		Instance: "x", Seeds: func() []netip.AddrPort { return []netip.AddrPort{silent.address, answering} },
+		Log: slog.New(slog.DiscardHandler), Random: rand.New(rand.NewPCG(1, 1)),
+		Post: func(_ context.Context, update feed.Update) error {
+			select {
+			case updates <- update:
+			default:
+			}
+			return nil
+		},
+	})
+	var first feed.Update
+	g.Eventually(updates, 20*time.Second).Should(gomega.Receive(&first))
+	g.Expect(first.View).NotTo(gomega.BeNil())
+	g.Expect(first.View.Revision).To(gomega.BeEquivalentTo(5))
+}
--- a/wire/passthrough.go
+++ b/wire/passthrough.go
@@ -1,6 +1,9 @@
 package wire
 
 import (
+	"bytes"
+	"encoding/gob"
+
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/route"
 )
@@ -31,14 +34,35 @@
 	// force. A caller without any view still gets what was committed as far as is
 	// known there; others get nothing but Controls.
 	Behind bool
-	// View is nil when the caller has the newest.
-	View *route.View
+	// View is empty when the caller has the newest.
+	View EncodedView
 	// Entries and Controls list addresses; Peers is their digest.
 	Entries  []string
 	Controls []string
 	Peers    uint64
 }
 
+// EncodedView is a route.View as it is sent. All callers get the same one, so that
+// it is encoded once for each revision.
+type EncodedView []byte
+
+// EncodeView returns the view as it is sent.
+func EncodeView(view *route.View) (EncodedView, error) {
+	var buffer bytes.Buffer
+	err := gob.NewEncoder(&buffer).Encode(view)
+	return buffer.Bytes(), core.At("encode view", "", err)
+}
+
+// Decode returns the view, nil for an empty one.
+func (e EncodedView) Decode() (*route.View, error) {
+	if len(e) == 0 {
+		return nil, nil
+	}
+	view := new(route.View)
+	err := gob.NewDecoder(bytes.NewReader(e)).Decode(view)
+	return view, core.At("decode view", "", err)
+}
+
 // SubmitRequest carries an encoded route.Command.
 type SubmitRequest struct{ Command []byte }
 
