--- a/passthrough/gate.go
+++ b/passthrough/gate.go
@@ -131,7 +131,9 @@
 	flows   map[core.FlowKey]*gateFlow
 	running int
 	open    int
-	pace    pace
+	// halfOpen counts the flows whose first request is about to come.
+	halfOpen int
+	pace     pace
 	// delivered holds when the newest opening packets were delivered.
 	delivered []time.Time
 	// unanswered is when the first opening packet was delivered after the backend
@@ -236,6 +238,7 @@
 	}
 	g.flows[p.Key] = &gateFlow{stage: stageHalfOpen, entry: entry, seen: now}
 	g.open++
+	g.halfOpen++
 	g.delivered = append(g.delivered, now)
 	if g.unanswered.IsZero() {
 		g.unanswered = now
@@ -294,6 +297,7 @@
 		return
 	}
 	flow.stage = stageOpen
+	g.halfOpen--
 	g.note(NoteOpened, ReasonOpened, p.Key, flow.entry)
 	g.following(now, p, flow)
 }
--- a/passthrough/gate_answer.go
+++ b/passthrough/gate_answer.go
@@ -114,6 +114,9 @@
 	if flow.stage == stageHalfOpen || flow.stage == stageOpen {
 		g.open--
 	}
+	if flow.stage == stageHalfOpen {
+		g.halfOpen--
+	}
 	flow.stage = stageClosed
 }
 
--- a/passthrough/gate_test.go
+++ b/passthrough/gate_test.go
@@ -258,6 +258,8 @@
 	// One slot that answers every 40 ms: the third in the queue waits 120 ms.
 	for port := range 3 {
 		b.open(port, 5000)
+	}
+	for port := range 3 {
 		b.send(data(port, 5001))
 	}
 	for port := range 3 {
@@ -270,6 +272,26 @@
 	b.expect(b.send(syn(9)), passthrough.GateRefuse, passthrough.ReasonBusy)
 }
 
+// All callers came back in the same milliseconds to the first backend server after
+// every machine had been down: 29 flows for 5 slots, before one request was seen.
+func TestBurstOfOpeningPacketsIsBoundedBeforeThePaceIsKnown(t *testing.T) {
+	b := newBench(t)
+	slots := announcement(2).Slots
+	b.announce(announcement(2))
+	admitted := 0
+	for port := range 10 * slots {
+		if b.send(syn(port))[0].Kind == passthrough.GateDeliver {
+			admitted++
+		}
+	}
+	b.g.Expect(admitted).To(gomega.Equal(2 * slots))
+	for port := range admitted {
+		b.gate.FromServer(b.now, &passthrough.Packet{Key: flowKey(port), Flags: core.TCPSyn | core.TCPAck, Seq: 5000})
+		b.send(&passthrough.Packet{Key: flowKey(port), Flags: core.TCPRst, Ack: 5001})
+	}
+	b.expect(b.send(syn(999)), passthrough.GateDeliver, passthrough.ReasonAdmitted)
+}
+
 // A packet that a caller repeats was counted as another request, which then waited
 // for an answer that never came.
 func TestRepeatedPacketIsNoNewRequest(t *testing.T) {
--- a/passthrough/pace.go
+++ b/passthrough/pace.go
@@ -20,7 +20,8 @@
 	// repeatShare is the same for a flow whose caller has sent a copy of its opening
 	// packet: its answer is late already, and goes behind those that aren't.
 	repeatShare = 0.2
-	// freeQueue is how many requests per slot are let in whatever their wait.
+	// freeQueue is how many requests per slot, running or about to come, are let in
+	// whatever their wait.
 	freeQueue = 2
 )
 
@@ -49,9 +50,11 @@
 
 // busy reports whether the first request of a new flow would wait so long that its
 // answer comes later than callers count on. It is better refused than served late
-// at the cost of all behind it.
+// at the cost of all behind it. As long as the pace isn't known, as after a start,
+// nothing is let in beyond the free queue.
 func (g *Gate) busy(p *Packet) bool {
-	if g.running < freeQueue*g.target.Slots {
+	ahead := g.running + g.halfOpen
+	if ahead < freeQueue*g.target.Slots {
 		return false
 	}
 	found := g.table.Route(p.Key.Service)
@@ -65,5 +68,5 @@
 	if p.Ack > 0 {
 		share = repeatShare
 	}
-	return float64(g.running)*float64(g.pace.interval) > share*float64(found.Objective)
+	return g.pace.interval == 0 || float64(ahead)*float64(g.pace.interval) > share*float64(found.Objective)
 }
