--- a/passthrough/dispatcher.go
+++ b/passthrough/dispatcher.go
@@ -71,6 +71,8 @@
 type companion struct {
 	status Status
 	heard  time.Time
+	// held says that flows may have lived there since it was heard of first.
+	held bool
 	// hash is that of the companion's address.
 	hash uint64
 	// assigned counts the flows sent there since the last status.
@@ -393,6 +395,7 @@
 	moved := !known || c.status.Service != status.Service
 	c.status = status
 	c.heard = now
+	c.held = !status.Departed && (c.held || status.Service != "")
 	c.assigned = 0
 	if moved {
 		d.index()
--- a/passthrough/dispatcher_test.go
+++ b/passthrough/dispatcher_test.go
@@ -374,6 +374,9 @@
 func TestCompanionWithoutAServiceMayHoldTheFlow(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := dispatcher(1)
+	listed := *table(2).View
+	listed.Companions = []route.Companion{{Address: companionAt(2)}}
+	d.SetTable(route.Compile(&listed))
 	started := statusOf(2)
 	started.Service, started.Ready = "", false
 	d.Status(start, started)
@@ -387,6 +390,32 @@
 	g.Expect(targets(d.Note(later, companionAt(1), absent), passthrough.DispatchReset)).To(gomega.HaveLen(1))
 }
 
+// After a full restart, resets of flows that had ended waited until the companions
+// without a backend server were sure that none ran beside them, for 3 s.
+func TestCompanionThatIsNotListedHoldsUpNoReset(t *testing.T) {
+	absent := passthrough.Note{Kind: passthrough.NoteAbsent, Key: flowKey(1)}
+	for name, c := range map[string]struct {
+		served bool
+		resets int
+	}{
+		"never heard of with a service": {false, 1},
+		"heard of with a service":       {true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			d := dispatcher(1)
+			if c.served {
+				d.Status(start, statusOf(2))
+			}
+			started := statusOf(2)
+			started.Service, started.Ready = "", false
+			d.Status(start, started)
+			d.Handle(start, data(1, 5001))
+			g.Expect(targets(d.Note(start, companionAt(1), absent), passthrough.DispatchReset)).To(gomega.HaveLen(c.resets))
+		})
+	}
+}
+
 // A flow that was sought and then refused left its kept packet counted, until no
 // packet of any flow was kept any more.
 func TestRefusedFlowFreesTheRoomOfItsSearch(t *testing.T) {
--- a/passthrough/search.go
+++ b/passthrough/search.go
@@ -99,8 +99,7 @@
 }
 
 // holders returns the companions whose backend servers may hold a flow, in the
-// flow's order: all of them, or the first ones. A companion that has just started
-// doesn't know yet what its backend server serves.
+// flow's order: all of them, or the first ones.
 func (d *Dispatcher) holders(key core.FlowKey, wide bool) []*companion {
 	var found *route.Route
 	if d.table != nil {
@@ -108,8 +107,7 @@
 	}
 	d.ranked = d.ranked[:0]
 	for _, c := range d.companions {
-		unknown := c.status.Service == ""
-		if !c.status.Departed && (found == nil || unknown || found.MayHold(c.status.Service)) {
+		if d.mayHold(c, found) {
 			d.ranked = append(d.ranked, c)
 		}
 	}
@@ -120,6 +118,20 @@
 	return d.ranked
 }
 
+// mayHold reports whether a flow of the route may live at the companion. One that has
+// just started doesn't know yet what its backend server serves, but if one has run
+// there before, the companion is listed.
+func (d *Dispatcher) mayHold(c *companion, found *route.Route) bool {
+	switch {
+	case c.status.Departed:
+		return false
+	case c.status.Service == "":
+		return c.held || d.table == nil || d.table.Listed(c.status.Companion)
+	default:
+		return found == nil || found.MayHold(c.status.Service)
+	}
+}
+
 // question asks all companions in the search's reach that haven't answered.
 func (d *Dispatcher) question(now time.Time, key core.FlowKey, s *search) {
 	s.asked = now
--- a/roles/companion/control.go
+++ b/roles/companion/control.go
@@ -50,10 +50,27 @@
 	}
 	config := &c.companion.config
 	traffic.SendHello(c.companion.peers, c.controls, hop.Hello{
-		Packets: config.Packets, Companion: true, Draining: c.registration.Target().Draining, Leaving: c.leaving,
+		Packets: config.Packets, Companion: true, Holding: c.holding(),
 	}, config.Log)
 }
 
+// holding returns whether flows may live here.
+func (c *control) holding() hop.Holding {
+	target := c.registration.Target()
+	switch {
+	case target.Gone:
+		return hop.HoldingNone
+	case target.Draining:
+		return hop.HoldingDraining
+	case target.Known:
+		return hop.HoldingFlows
+	case time.Since(began) > c.companion.config.Gate.FirstAnnouncement:
+		return hop.HoldingNone
+	default:
+		return hop.HoldingUnsure
+	}
+}
+
 // change puts a changed copy of the packet path's state in force.
 func (c *control) change(edit func(*state)) {
 	next := *c.companion.state.Load()
@@ -65,9 +82,7 @@
 type stopping struct{}
 
 func (stopping) handle(c *control, now time.Time) {
-	target := c.registration.Target()
-	none := !target.Known && time.Since(began) > c.companion.config.Gate.FirstAnnouncement
-	c.leaving = target.Gone || none
+	c.leaving = c.holding() == hop.HoldingNone
 	c.Wake(now)
 }
 
--- a/roles/control/control_test.go
+++ b/roles/control/control_test.go
@@ -171,14 +171,14 @@
 }
 
 // hello sends a companion's hello to every instance of the group.
-func (g *group) hello(companion netip.AddrPort, leaving bool) {
+func (g *group) hello(companion netip.AddrPort, holding hop.Holding) {
 	g.t.Helper()
 	conn, err := net.ListenUDP("udp4", nil)
 	if err != nil {
 		g.t.Fatal(err)
 	}
 	defer func() { _ = conn.Close() }()
-	datagram, err := hop.EncodeHello(hop.Hello{Packets: companion, Companion: true, Leaving: leaving})
+	datagram, err := hop.EncodeHello(hop.Hello{Packets: companion, Companion: true, Holding: holding})
 	for _, seed := range g.seeds {
 		if err == nil {
 			_, err = conn.WriteToUDPAddrPort(datagram, seed)
@@ -209,11 +209,11 @@
 	group := startGroup(t, 3)
 	companion := netip.MustParseAddrPort("127.0.0.99:8000")
 	g.Eventually(func() []route.Companion {
-		group.hello(companion, false)
+		group.hello(companion, hop.HoldingFlows)
 		return group.companions(1)
 	}, 20*time.Second, 50*time.Millisecond).Should(gomega.Equal([]route.Companion{{Address: companion}}))
 	g.Eventually(func() []route.Companion {
-		group.hello(companion, true)
+		group.hello(companion, hop.HoldingNone)
 		return group.companions(2)
 	}, 20*time.Second, 50*time.Millisecond).Should(gomega.BeEmpty())
 }
--- a/roles/control/directory.go
+++ b/roles/control/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -55,10 +56,25 @@
 	h.peers = list
 }
 
+// listDelay is how long a change of the list of companions waits for others.
+const listDelay = 50 * time.Millisecond
+
 // companionHeard is what a companion last said of itself.
 type companionHeard struct {
-	when              time.Time
-	draining, leaving bool
+	when    time.Time
+	holding hop.Holding
+}
+
+// listing returns how a companion should be listed, and false if it shouldn't be.
+func (h *handler) listing(now time.Time, address netip.AddrPort, heard companionHeard) (route.Companion, bool) {
+	switch {
+	case heard.holding == hop.HoldingNone || now.Sub(heard.when) >= companionLimit:
+		return route.Companion{}, false
+	case heard.holding == hop.HoldingUnsure:
+		return h.state.Companion(address)
+	default:
+		return route.Companion{Address: address, Draining: heard.holding == hop.HoldingDraining}, true
+	}
 }
 
 // listCompanions has the leader add companions that it hears of to the list of those
@@ -68,21 +84,21 @@
 	if leading && !h.leading {
 		// What was heard before, by another leader, isn't known here.
 		for _, listed := range h.state.Companions {
-			h.companions[listed.Address] = companionHeard{when: now, draining: listed.Draining}
+			h.companions[listed.Address] = companionHeard{when: now, holding: hop.HoldingUnsure}
 		}
 	}
 	h.leading = leading
 	var change route.SetCompanions
 	for address, heard := range h.companions {
 		listed, known := h.state.Companion(address)
+		wanted, holds := h.listing(now, address, heard)
 		switch {
-		case heard.leaving || now.Sub(heard.when) >= companionLimit:
+		case holds && listed != wanted:
+			change.Set = append(change.Set, wanted)
+		case !holds && known:
+			change.Remove = append(change.Remove, address)
+		case now.Sub(heard.when) >= companionLimit:
 			delete(h.companions, address)
-			if known {
-				change.Remove = append(change.Remove, address)
-			}
-		case !known || listed.Draining != heard.draining:
-			change.Set = append(change.Set, route.Companion{Address: address, Draining: heard.draining})
 		}
 	}
 	if !leading || len(change.Set)+len(change.Remove) == 0 {
@@ -114,7 +130,12 @@
 func (e heard) handle(h *handler, now time.Time) {
 	at := e.hello.Packets
 	if e.hello.Companion {
-		h.companions[at] = companionHeard{when: now, draining: e.hello.Draining, leaving: e.hello.Leaving}
+		said := companionHeard{when: now, holding: e.hello.Holding}
+		h.companions[at] = said
+		listed, _ := h.state.Companion(at)
+		if wanted, _ := h.listing(now, at, said); wanted != listed && now.Add(listDelay).Before(h.sweep) {
+			h.sweep = now.Add(listDelay)
+		}
 		return
 	}
 	_, known := h.entries[at]
--- a/route/view.go
+++ b/route/view.go
@@ -16,7 +16,7 @@
 	Routes   []Route
 	Services []Service
 	Out      []core.DataCentre
-	// Companions lists those that may hold flows.
+	// Companions lists those that may hold flows, ordered by address.
 	Companions  []Companion
 	IdleTimeout time.Duration
 }
@@ -54,6 +54,12 @@
 	return t.services[name]
 }
 
+// Listed reports whether the companion is listed as one that may hold flows.
+func (t *Table) Listed(companion netip.AddrPort) bool {
+	_, listed := slices.BinarySearchFunc(t.View.Companions, companion, compareCompanion)
+	return listed
+}
+
 // DataCentreOut reports whether operators have taken the data centre out.
 func (t *Table) DataCentreOut(name core.DataCentre) bool {
 	return slices.Contains(t.View.Out, name)
--- a/wire/hop/hop.go
+++ b/wire/hop/hop.go
@@ -60,13 +60,25 @@
 	Packets netip.AddrPort
 	// Companion says that it is a companion.
 	Companion bool
-	// Draining says that the companion's backend server is about to leave.
-	Draining bool
-	// Leaving says that the companion ends after its backend server, so that no flow
-	// is left there.
-	Leaving bool
+	// Holding says whether flows may live at the companion.
+	Holding Holding
 }
 
+// Holding says whether flows may live at a companion.
+type Holding uint8
+
+const (
+	// HoldingUnsure: the companion has started and not heard of a backend server yet.
+	// What was known of it still counts.
+	HoldingUnsure Holding = iota
+	// HoldingFlows: a backend server runs beside it.
+	HoldingFlows
+	// HoldingDraining: its backend server is about to leave.
+	HoldingDraining
+	// HoldingNone: no backend server runs beside it.
+	HoldingNone
+)
+
 // AppendEnvelope appends the encoded envelope to the buffer.
 func AppendEnvelope(buffer []byte, e Envelope) []byte {
 	buffer = append(buffer, byte(e.Kind), byte(e.Reason))
