--- a/cmd/zinniapulley/platform.go
+++ b/cmd/zinniapulley/platform.go
@@ -183,7 +183,7 @@
 	}
 	built, err := companion.New(companion.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Packets: s.Listen.Packets, Outbound: s.Listen.Outbound,
-		Server: s.Server, Service: s.Service, Seeds: c.seeds,
+		Server: s.Server, Health: s.Server, Service: s.Service, Seeds: c.seeds,
 		Gate: passthrough.GateConfig{
 			DataCentre: s.DataCentre, AnnouncementLimit: time.Duration(float64(s.AnnounceInterval) * announcementsMissed),
 			FirstAnnouncement: s.AnnounceInterval * firstAnnouncements,
--- /dev/null
+++ b/passthrough/ended_test.go
@@ -0,0 +1,86 @@
+package passthrough_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/passthrough"
+)
+
+// refuse has a connection to the backend server, begun now, refused.
+func (b *bench) refuse() bool {
+	target, taken := b.registration.Refused(b.now)
+	b.after(time.Millisecond)
+	b.gate.SetTarget(target)
+	return taken
+}
+
+func TestFlowsOfABackendServerThatHasEndedAreReset(t *testing.T) {
+	b := newBench(t)
+	b.open(1, 5000)
+	b.send(data(1, 5001))
+	b.open(2, 7000)
+	b.after(time.Second)
+	b.g.Expect(b.refuse()).To(gomega.BeTrue())
+	resets := map[core.FlowKey]uint32{}
+	for _, a := range b.gate.EndFlows() {
+		if a.Kind == passthrough.GateReset {
+			resets[a.Packet.Key] = a.ResetSeq
+		}
+	}
+	b.g.Expect(resets).To(gomega.Equal(map[core.FlowKey]uint32{flowKey(1): 5001, flowKey(2): 7001}))
+	b.g.Expect(b.gate.Running()).To(gomega.BeZero())
+	b.expect(b.send(syn(3)), passthrough.GateRefuse, passthrough.ReasonGone)
+	b.expect(b.gate.Question(b.now, entryAt, flowKey(4)), passthrough.GateNote, passthrough.ReasonNotHere)
+}
+
+// An announcement that came after the connection was begun is of a backend server
+// that runs.
+func TestRefusalThatAnAnnouncementHasOvertakenSaysNothing(t *testing.T) {
+	b := newBench(t)
+	began := b.now
+	b.after(time.Millisecond)
+	b.announce(announcement(2))
+	_, taken := b.registration.Refused(began)
+	b.g.Expect(taken).To(gomega.BeFalse())
+}
+
+func TestBackendServerThatSpeaksAgainIsUsedAgain(t *testing.T) {
+	b := newBench(t)
+	b.after(time.Millisecond)
+	b.g.Expect(b.refuse()).To(gomega.BeTrue())
+	b.g.Expect(b.announce(announcement(9))).To(gomega.BeTrue())
+	b.expect(b.send(syn(1)), passthrough.GateDeliver, passthrough.ReasonAdmitted)
+	b.g.Expect(b.gate.EndFlows()).To(gomega.BeEmpty())
+}
+
+// A companion beside which nothing runs knows all flows, and so does one whose
+// backend server has started since.
+func TestNothingRunsBesideTheCompanion(t *testing.T) {
+	b := newBench(t)
+	b.registration = passthrough.NewRegistration(start, gateConfig().AnnouncementLimit)
+	b.gate = passthrough.NewGate(b.now, gateConfig())
+	b.gate.SetTable(b.now, table(1))
+	b.expect(b.gate.Question(b.now, entryAt, flowKey(1)), passthrough.GateNote, passthrough.ReasonUnknownFlow)
+	b.g.Expect(b.refuse()).To(gomega.BeTrue())
+	b.expect(b.gate.Question(b.now, entryAt, flowKey(1)), passthrough.GateNote, passthrough.ReasonNotHere)
+	late := announcement(30)
+	late.Born = start.Add(-time.Hour).UnixMilli()
+	b.g.Expect(b.announce(late)).To(gomega.BeTrue())
+	b.expect(b.gate.Question(b.now, entryAt, flowKey(1)), passthrough.GateNote, passthrough.ReasonNotHere)
+}
+
+func TestBackendServerThatOwesAnAnswerIsSuspect(t *testing.T) {
+	b := newBench(t)
+	b.open(1, 5000)
+	b.after(time.Second)
+	b.g.Expect(b.gate.Suspect(b.now)).To(gomega.BeFalse(), "nothing was asked")
+	b.send(data(1, 5001))
+	b.g.Expect(b.gate.Suspect(b.now)).To(gomega.BeFalse(), "just asked")
+	b.after(time.Second)
+	b.g.Expect(b.gate.Suspect(b.now)).To(gomega.BeTrue())
+	b.gate.FromServer(b.now, &passthrough.Packet{Key: flowKey(1), Flags: core.TCPAck, Seq: 5001, Length: 100})
+	b.g.Expect(b.gate.Suspect(b.now)).To(gomega.BeFalse())
+}
--- a/passthrough/gate.go
+++ b/passthrough/gate.go
@@ -13,6 +13,9 @@
 	// say nothing at all before it counts as silent. It answers within
 	// milliseconds even with all slots taken.
 	silentAfter = 250 * time.Millisecond
+	// suspectAfter is how long a backend server may owe an answer before it is looked
+	// at: a few times what most requests take.
+	suspectAfter = 150 * time.Millisecond
 	// probeInterval is the time between opening packets to a silent one.
 	probeInterval = 500 * time.Millisecond
 	// coldWindow is the span over which a cold backend server's new flows are
@@ -114,6 +117,9 @@
 	// sent says that data of the caller was seen, up to sentTo.
 	sent   bool
 	sentTo uint32
+	// acked says that ack, what the caller acknowledged last, is known.
+	acked bool
+	ack   uint32
 	// waiting says that a request waits for its answer, since then.
 	waiting   bool
 	since     time.Time
@@ -140,6 +146,9 @@
 	// server was heard of last; zero for none.
 	unanswered time.Time
 	probed     time.Time
+	// owing is when the first packet that asks for an answer was delivered after the
+	// backend server was heard of last; zero for none.
+	owing time.Time
 	// returned is when the data centre was put in again; zero if it never was out.
 	returned time.Time
 	stopping bool
@@ -243,6 +252,7 @@
 	if g.unanswered.IsZero() {
 		g.unanswered = now
 	}
+	g.owe(now)
 	g.act(GateDeliver, ReasonAdmitted, p)
 	g.note(NoteAdmitted, ReasonAdmitted, p.Key, entry)
 }
@@ -271,7 +281,7 @@
 
 // alone reports whether no backend server runs beside the companion.
 func (g *Gate) alone(now time.Time) bool {
-	return g.target.Gone || (!g.target.Known && now.Sub(g.started) > g.config.FirstAnnouncement)
+	return g.target.Over() || (!g.target.Known && now.Sub(g.started) > g.config.FirstAnnouncement)
 }
 
 // mayHold reports whether the backend server's service may hold the flow.
@@ -308,11 +318,15 @@
 	if flow.sought && flow.stage == stageOpen {
 		g.note(NoteOpened, ReasonOpened, p.Key, flow.entry)
 	}
-	if g.target.Gone && flow.stage == stageOpen {
+	if g.target.Over() && flow.stage == stageOpen {
 		g.lost(p, flow)
 		return
 	}
+	flow.acked, flow.ack = p.Flags.Has(core.TCPAck), p.Ack
 	reason := ReasonCached
+	if p.Length > 0 {
+		g.owe(now)
+	}
 	if flow.stage == stageOpen && flow.isNew(p) && !flow.waiting {
 		flow.waiting, flow.since = true, now
 		g.running++
@@ -342,6 +356,28 @@
 	return true
 }
 
+// owe notes that the backend server was sent what it has to answer.
+func (g *Gate) owe(now time.Time) {
+	if g.owing.IsZero() {
+		g.owing = now
+	}
+}
+
+// EndFlows resets the flows of a backend server that has ended, so that their callers
+// needn't find out. The result is valid until the next call.
+func (g *Gate) EndFlows() []GateAction {
+	g.out = g.out[:0]
+	if !g.target.Ended {
+		return g.out
+	}
+	for key, flow := range g.flows {
+		if flow.stage == stageOpen && flow.acked && flow.seen.Before(g.target.EndedAt) {
+			g.lost(&Packet{Key: key, Ack: flow.ack}, flow)
+		}
+	}
+	return g.out
+}
+
 // lost ends a flow that the backend server no longer holds.
 func (g *Gate) lost(p *Packet, flow *gateFlow) {
 	entry := flow.entry
--- a/passthrough/gate_answer.go
+++ b/passthrough/gate_answer.go
@@ -43,6 +43,7 @@
 func (g *Gate) heard() {
 	g.unanswered = time.Time{}
 	g.probed = time.Time{}
+	g.owing = time.Time{}
 }
 
 // learn takes from the backend server's packet what it shows of the flow.
--- a/passthrough/target.go
+++ b/passthrough/target.go
@@ -31,6 +31,10 @@
 	Known bool
 	// Gone says that it has said goodbye.
 	Gone bool
+	// Ended says that nothing runs at its address: a connection to it, begun at
+	// EndedAt, was refused. It is set of one that isn't known, too.
+	Ended   bool
+	EndedAt time.Time
 	// Start counts the starts of backend servers that were known here.
 	Start int
 	// Younger says that it started no earlier than this companion, so that all its
@@ -82,8 +86,9 @@
 		return t, false
 	}
 	if !same {
-		t = Target{Known: true, Start: t.Start + 1, Younger: t.Known || r.isYounger(a)}
+		t = Target{Known: true, Start: t.Start + 1, Younger: t.Known || t.Ended || r.isYounger(a)}
 	}
+	t.Ended = false
 	// A start that has begun to leave doesn't come back.
 	a.Draining = a.Draining || (same && t.Draining)
 	t.Announcement = a
@@ -111,6 +116,19 @@
 	return r.target, true
 }
 
+// Refused takes that a connection to the backend server's address, begun at the given
+// time, was refused. It reports false if that says nothing new.
+func (r *Registration) Refused(began time.Time) (Target, bool) {
+	if r.target.Gone || r.target.Ended || !r.target.Heard.Before(began) {
+		return r.target, false
+	}
+	r.target.Ended, r.target.EndedAt = true, began
+	return r.target, true
+}
+
+// Over reports whether no backend server runs beside the companion.
+func (t *Target) Over() bool { return t.Gone || t.Ended }
+
 // SetTarget takes what is known of the backend server by now.
 func (g *Gate) SetTarget(target Target) {
 	if target.Heard.After(g.target.Heard) {
@@ -163,7 +181,7 @@
 		return ReasonNoView
 	case !g.target.Known:
 		return ReasonNoTarget
-	case g.target.Gone:
+	case g.target.Over():
 		return ReasonGone
 	case g.target.Draining:
 		return ReasonDraining
@@ -186,6 +204,12 @@
 	return found != nil && found.Allows(g.target.Service)
 }
 
+// Suspect reports whether the backend server owes an answer for so long that it may
+// have ended.
+func (g *Gate) Suspect(now time.Time) bool {
+	return g.target.Known && !g.target.Over() && !g.owing.IsZero() && now.Sub(g.owing) > suspectAfter
+}
+
 // silent reports whether the backend server has stopped answering.
 func (g *Gate) silent(now time.Time) bool {
 	return !g.unanswered.IsZero() && now.Sub(g.unanswered) > silentAfter
--- a/roles/companion/companion.go
+++ b/roles/companion/companion.go
@@ -51,6 +51,9 @@
 	Outbound netip.AddrPort
 	// Server is the UDP address at which the backend server takes packets.
 	Server netip.AddrPort
+	// Health is the TCP address at which the backend server takes health checks for as
+	// long as it runs. It is only connected to.
+	Health netip.AddrPort
 	// Service is what the backend server is expected to serve.
 	Service core.ServiceName
 	// Seeds returns the control instances that the settings name by now; at least
--- a/roles/companion/control.go
+++ b/roles/companion/control.go
@@ -23,6 +23,11 @@
 	registration *passthrough.Registration
 	controls     []netip.AddrPort
 	helloDue     time.Time
+	// lookDue is when the backend server is looked at next while none is known; looked
+	// is when it was last, and looking is set meanwhile.
+	lookDue time.Time
+	looked  time.Time
+	looking bool
 	// leaving is set when the companion is to stop and no backend server runs beside
 	// it.
 	leaving bool
@@ -39,11 +44,26 @@
 // Handle takes one event.
 func (c *control) Handle(now time.Time, e event) { e.handle(c, now) }
 
-// Deadline returns when the next hello is due.
-func (c *control) Deadline() (time.Time, bool) { return c.helloDue, true }
+// Deadline returns when the next hello or look is due.
+func (c *control) Deadline() (time.Time, bool) {
+	if c.searching(c.helloDue) && c.lookDue.Before(c.helloDue) {
+		return c.lookDue, true
+	}
+	return c.helloDue, true
+}
 
-// Wake tells the control instances of this companion.
+// Wake does what is due.
 func (c *control) Wake(now time.Time) {
+	if !now.Before(c.lookDue) && c.searching(now) {
+		c.look(now)
+	}
+	if !now.Before(c.helloDue) {
+		c.sayHello(now)
+	}
+}
+
+// sayHello tells the control instances of this companion.
+func (c *control) sayHello(now time.Time) {
 	c.helloDue = now.Add(helloInterval)
 	if c.leaving {
 		c.helloDue = now.Add(goodbyeInterval)
@@ -58,7 +78,7 @@
 func (c *control) holding() hop.Holding {
 	target := c.registration.Target()
 	switch {
-	case target.Gone:
+	case target.Over():
 		return hop.HoldingNone
 	case target.Draining:
 		return hop.HoldingDraining
@@ -83,7 +103,7 @@
 
 func (stopping) handle(c *control, now time.Time) {
 	c.leaving = c.holding() == hop.HoldingNone
-	c.Wake(now)
+	c.sayHello(now)
 }
 
 // updated is news from a control instance.
@@ -123,7 +143,7 @@
 	}
 	c.change(func(s *state) { s.target = target })
 	if before.Start != target.Start || before.Draining != target.Draining {
-		c.Wake(now)
+		c.sayHello(now)
 		c.companion.config.Log.Info("backend server announced", "server", target.Server, "service", target.Service, "born", target.Born,
 			"number", target.Number, "slots", target.Slots, "draining", target.Draining, "coldFor", e.a.ColdFor, "expectedService", c.companion.config.Service)
 	}
--- a/roles/companion/owner.go
+++ b/roles/companion/owner.go
@@ -94,6 +94,7 @@
 		o.gate.SetTable(now, s.table)
 	}
 	o.gate.SetTarget(s.target)
+	o.carryOut(now, o.gate.EndFlows())
 }
 
 // Handle takes one datagram.
@@ -149,6 +150,9 @@
 		o.gate.Stop()
 	}
 	o.gate.Sweep(now)
+	if o.gate.Suspect(now) {
+		o.suspect()
+	}
 	status := o.gate.Status(now)
 	status.Companion = o.companion.config.Packets
 	if status == o.sent && len(o.state.entries) == o.sentTo && now.Sub(o.sentAt) < restInterval {
@@ -165,6 +169,14 @@
 	}
 }
 
+// suspect has the backend server looked at.
+func (o *owner) suspect() {
+	err := o.companion.loop.Post(suspected{})
+	if err != nil {
+		o.log.Warn("backend server not looked at", "server", o.state.target.Server, "error", err)
+	}
+}
+
 // carryOut does what was decided.
 func (o *owner) carryOut(now time.Time, actions []passthrough.GateAction) {
 	codec := o.companion.config.Codec
--- a/roles/systemtest/system_test.go
+++ b/roles/systemtest/system_test.go
@@ -174,7 +174,7 @@
 func (s *system) startCompanion(i byte) *process[*companion.Companion] {
 	built, err := companion.New(companion.Config{
 		Instance: core.InstanceID("companion" + string('1'+i)), DataCentre: core.DataCentre(dataCentre(i)),
-		Packets: at(groupCompanion, i+1, callerPort), Outbound: at(groupCompanion, i+1, outboundPort), Server: at(groupCompanion, i+1, serverPort),
+		Packets: at(groupCompanion, i+1, callerPort), Outbound: at(groupCompanion, i+1, outboundPort), Server: at(groupCompanion, i+1, serverPort), Health: at(groupCompanion, i+1, serverPort),
 		Seeds: s.known, Codec: platform.Datagrams{CallerPort: callerPort}, Log: quiet, Metrics: metrics.NewRegistry(),
 		Gate: passthrough.GateConfig{DataCentre: core.DataCentre(dataCentre(i)), AnnouncementLimit: time.Hour, FirstAnnouncement: time.Hour, ColdFactor: 1.5, ColdSlack: 5, MaxFlowAge: time.Minute},
 	})
@@ -336,3 +336,20 @@
 		return err == nil
 	}, settleTime, time.Second).Should(gomega.BeTrue())
 }
+
+// A backend server that has ended said nothing, and its callers waited for answers
+// until they gave up.
+func TestFlowOfABackendServerThatHasEndedIsReset(t *testing.T) {
+	s := start(t, 2)
+	f, err := s.caller.Open(feedAddress, entryAt(0))
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	name, err := f.Ask()
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, server := range s.servers {
+		if server.Name == name {
+			server.Close()
+		}
+	}
+	_, err = f.Ask()
+	s.g.Expect(err).To(gomega.MatchError(packets.ErrReset))
+}
--- a/standin/packets/packets.go
+++ b/standin/packets/packets.go
@@ -61,8 +61,10 @@
 // Server is a backend server: it answers each packet with data with its name, and
 // gives back what it doesn't hold.
 type Server struct {
-	Name     string
-	conn     *net.UDPConn
+	Name string
+	conn *net.UDPConn
+	// health takes connections for health checks, at the same address.
+	health   net.Listener
 	outbound netip.AddrPort
 	// Refuses says that it takes no new flow.
 	Refuses atomic.Bool
@@ -82,12 +84,32 @@
 	if err != nil {
 		return nil, core.At("listen", core.Peer(at.String()), err)
 	}
+	health, err := net.Listen("tcp4", at.String())
+	if err != nil {
+		_ = conn.Close()
+		return nil, core.At("listen for health checks", core.Peer(at.String()), err)
+	}
+	go answerHealth(health)
 	seq := uint32(outbound.Addr().As4()[3]) << 24
-	return &Server{Name: name, conn: conn, outbound: outbound, flows: map[netip.AddrPort]uint32{}, seq: seq}, nil
+	return &Server{Name: name, conn: conn, health: health, outbound: outbound, flows: map[netip.AddrPort]uint32{}, seq: seq}, nil
+}
+
+// answerHealth takes connections until the listener is closed.
+func answerHealth(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_ = conn.Close()
+	}
 }
 
 // Close ends the server.
-func (s *Server) Close() { _ = s.conn.Close() }
+func (s *Server) Close() {
+	_ = s.conn.Close()
+	_ = s.health.Close()
+}
 
 // Opened returns how many flows were opened.
 func (s *Server) Opened() int64 { return s.opened.Load() }
