--- a/passthrough/choice.go
+++ b/passthrough/choice.go
@@ -25,6 +25,8 @@
 	coldPenalty = 0.5
 	// unheardPenalty holds back backend servers whose status is old.
 	unheardPenalty = 100.0
+	// failingPenalty holds back backend servers at which requests fail or stall.
+	failingPenalty = unheardPenalty
 	// choices is how many candidates, first in the flow's order, share its opening
 	// by load. A flow that no entry instance has cached is sought among the first
 	// ones of the same order.
@@ -138,6 +140,9 @@
 	if c.status.Cold {
 		load += coldPenalty
 	}
+	if c.status.Failing {
+		load += failingPenalty
+	}
 	if now.Sub(c.heard) > statusFresh {
 		load += unheardPenalty
 	}
--- a/passthrough/gate.go
+++ b/passthrough/gate.go
@@ -140,6 +140,7 @@
 	// halfOpen counts the flows whose first request is about to come.
 	halfOpen int
 	pace     pace
+	health   health
 	// delivered holds when the newest opening packets were delivered.
 	delivered []time.Time
 	// unanswered is when the first opening packet was delivered after the backend
@@ -329,9 +330,15 @@
 	}
 	if flow.stage == stageOpen && flow.isNew(p) && !flow.waiting {
 		flow.waiting, flow.since = true, now
+		if g.running == 0 {
+			g.health.progress = now
+		}
 		g.running++
 		reason = ReasonRequest
 	}
+	if (p.Flags.Has(core.TCPFin) || p.Flags.Has(core.TCPRst)) && flow.waiting && now.Sub(flow.since) > g.health.patience() {
+		g.health.failure(now)
+	}
 	if p.Flags.Has(core.TCPFin) {
 		flow.callerFin = true
 		g.closeIfDone(flow)
--- a/passthrough/gate_answer.go
+++ b/passthrough/gate_answer.go
@@ -59,11 +59,10 @@
 	}
 	flow.proven = true
 	if p.Length > 0 && flow.waiting {
-		g.pace.answered(now, g.running >= g.target.Slots)
-		g.endRequest(flow)
-		if g.Served != nil {
-			g.Served(p.Key, now.Sub(flow.since))
-		}
+		g.answered(now, p, flow)
+	}
+	if flow.waiting && (p.Flags.Has(core.TCPFin) || p.Flags.Has(core.TCPRst)) {
+		g.health.failure(now)
 	}
 	if p.Flags.Has(core.TCPFin) {
 		flow.serverFin = true
@@ -74,6 +73,22 @@
 	}
 }
 
+// answered ends the request that the packet begins the answer to.
+func (g *Gate) answered(now time.Time, p *Packet, flow *gateFlow) {
+	took := now.Sub(flow.since)
+	g.pace.answered(now, g.running >= g.target.Slots)
+	g.health.progress = now
+	if p.Failure {
+		g.health.failure(now)
+	} else {
+		g.health.answered(now, took)
+	}
+	g.endRequest(flow)
+	if g.Served != nil {
+		g.Served(p.Key, took)
+	}
+}
+
 // givenBack decides about a caller's packet that the backend server didn't take.
 func (g *Gate) givenBack(p *Packet, flow *gateFlow) {
 	if flow == nil {
--- a/passthrough/packet.go
+++ b/passthrough/packet.go
@@ -29,6 +29,9 @@
 	Seq, Ack uint32
 	// Length is the number of bytes of data.
 	Length int
+	// Failure says that the data begins an answer by which the backend server says
+	// that it has failed to carry out a request.
+	Failure bool
 	// Data is the whole datagram, header included.
 	Data []byte
 }
@@ -67,6 +70,7 @@
 	ReasonStarting
 	ReasonBusy
 	ReasonRequest
+	ReasonFailing
 
 	// ReasonCount is the number of reasons, for arrays of counters.
 	ReasonCount
@@ -79,7 +83,7 @@
 	"backend server doesn't answer", "route doesn't allow the service", "cold backend server bears no more",
 	"too many connections", "backend server refused", "flow is not here", "backend server has lost the flow",
 	"companion stops", "too many flows are sought", "reset of an unknown flow",
-	"entry instance has just started", "answer would come too late", "request begins",
+	"entry instance has just started", "answer would come too late", "request begins", "requests fail there",
 }
 
 // String returns the reason in words.
@@ -105,6 +109,8 @@
 	Departed bool
 	// Cold says that the backend server bears only a little yet.
 	Cold bool
+	// Failing says that requests fail or stall there.
+	Failing bool
 	// Slots is how many requests the backend server runs at once.
 	Slots int
 	// Running is how many requests wait for an answer there.
--- a/passthrough/target.go
+++ b/passthrough/target.go
@@ -139,6 +139,7 @@
 		for _, flow := range g.flows {
 			g.endRequest(flow)
 		}
+		g.health = health{}
 	}
 	g.target = target
 }
@@ -169,6 +170,9 @@
 	if g.cold(now) && g.windowFull(now) {
 		return ReasonCold
 	}
+	if !g.health.try(now) {
+		return ReasonFailing
+	}
 	return ReasonNone
 }
 
@@ -258,7 +262,7 @@
 	}
 	return Status{
 		DataCentre: g.config.DataCentre, Service: g.target.Service, Server: g.target.Server,
-		Ready: ready, Departed: g.alone(now), Cold: cold, Slots: g.target.Slots,
+		Ready: ready, Departed: g.alone(now), Cold: cold, Failing: g.health.failing(now, g.running), Slots: g.target.Slots,
 		Running: g.running, Flows: g.open,
 	}
 }
--- a/roles/companion/owner.go
+++ b/roles/companion/owner.go
@@ -158,6 +158,10 @@
 	if status == o.sent && len(o.state.entries) == o.sentTo && now.Sub(o.sentAt) < restInterval {
 		return
 	}
+	if status.Failing != o.sent.Failing {
+		o.log.Warn("health of the backend server", "server", status.Server, "failing", status.Failing, "running", status.Running,
+			"flows", status.Flows, "slots", status.Slots)
+	}
 	o.sent, o.sentAt, o.sentTo = status, now, len(o.state.entries)
 	datagram, err := hop.EncodeStatus(status)
 	if err != nil {
--- a/wire/hop/hop.go
+++ b/wire/hop/hop.go
@@ -148,6 +148,7 @@
 	Ready      bool             `cbor:"5,keyasint"`
 	Departed   bool             `cbor:"6,keyasint"`
 	Cold       bool             `cbor:"7,keyasint"`
+	Failing    bool             `cbor:"11,keyasint"`
 	Slots      int              `cbor:"8,keyasint"`
 	Running    int              `cbor:"9,keyasint"`
 	Flows      int              `cbor:"10,keyasint"`
