--- a/wire/passthrough.go
+++ b/wire/passthrough.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/flate"
 	"encoding/gob"
 
 	"zinniapulley.dev/core"
@@ -42,14 +43,20 @@
 	Peers    uint64
 }
 
-// EncodedView is a route.View as it is sent. All callers get the same one, so that
-// it is encoded once for each revision.
+// EncodedView is a route.View as it is sent, compressed. All callers get the same
+// one, so that it is encoded once for each revision.
 type EncodedView []byte
 
 // EncodeView returns the view as it is sent.
 func EncodeView(view *route.View) (EncodedView, error) {
 	var buffer bytes.Buffer
-	err := gob.NewEncoder(&buffer).Encode(view)
+	compressor, err := flate.NewWriter(&buffer, flate.BestSpeed)
+	if err == nil {
+		err = gob.NewEncoder(compressor).Encode(view)
+	}
+	if err == nil {
+		err = compressor.Close()
+	}
 	return buffer.Bytes(), core.At("encode view", "", err)
 }
 
@@ -59,7 +66,7 @@
 		return nil, nil
 	}
 	view := new(route.View)
-	err := gob.NewDecoder(bytes.NewReader(e)).Decode(view)
+	err := gob.NewDecoder(flate.NewReader(bytes.NewReader(e))).Decode(view)
 	return view, core.At("decode view", "", err)
 }
 
