--- a/cmd/zinniapulley/check.go
+++ b/cmd/zinniapulley/check.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/juju/errors"
 	"zinniapulley.dev/config"
@@ -14,7 +15,7 @@
 
 // checkCommand checks a file without running anything.
 type checkCommand struct {
-	File string `arg:"" type:"existingfile" help:"Settings file or configuration document (JSON)."`
+	File string `arg:"" type:"existingfile" help:"Settings file or configuration document (JSON), or a deploy or settings file of the users' platform (TOML)."`
 	JSON bool   `name:"json" help:"Print the faults as JSON."`
 }
 
@@ -24,11 +25,16 @@
 	Kind   string             `json:"kind"`
 	OK     bool               `json:"ok"`
 	Faults []strictjson.Fault `json:"faults"`
+	// Problems are the faults of the platform's files.
+	Problems []string `json:"problems,omitempty"`
 }
 
 // Run checks the file and lists every fault with its JSON path. Its exit
 // status is 0 only for a file without faults.
 func (c *checkCommand) Run() error {
+	if filepath.Ext(c.File) == extensionTOML {
+		return c.runPlatform()
+	}
 	data, err := os.ReadFile(c.File)
 	if err != nil {
 		return core.At("read", core.Peer(c.File), err)
@@ -46,6 +52,19 @@
 	return nil
 }
 
+// runPlatform checks a file of the users' platform.
+func (c *checkCommand) runPlatform() error {
+	kind, problems, err := checkPlatformFile(c.File)
+	if err != nil {
+		return err
+	}
+	c.print(checkReport{File: c.File, Kind: kind, OK: len(problems) == 0, Problems: problems})
+	if len(problems) > 0 {
+		os.Exit(exitFault)
+	}
+	return nil
+}
+
 func (c *checkCommand) print(report checkReport) {
 	if c.JSON {
 		_ = json.NewEncoder(os.Stdout).Encode(report)
@@ -55,7 +74,10 @@
 		fmt.Printf("%s: %s without faults\n", report.File, report.Kind)
 		return
 	}
-	fmt.Printf("%s: %s with %d faults\n", report.File, report.Kind, len(report.Faults))
+	fmt.Printf("%s: %s with %d faults\n", report.File, report.Kind, len(report.Faults)+len(report.Problems))
+	for _, problem := range report.Problems {
+		fmt.Printf("  %s\n", problem)
+	}
 	for _, fault := range report.Faults {
 		fmt.Printf("  %s\n", fault)
 	}
--- /dev/null
+++ b/cmd/zinniapulley/check_platform.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+	"github.com/alecthomas/kong"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/platform"
+)
+
+// extensionTOML is that of the files of the users' platform.
+const extensionTOML = ".toml"
+
+// checkPlatformFile checks a deploy file, or else a settings file of the users'
+// platform. It returns what kind the file is and its faults.
+func checkPlatformFile(path string) (string, []string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", nil, core.At("read", core.Peer(path), err)
+	}
+	var probe struct {
+		Roles map[string]any `toml:"roles"`
+	}
+	err = toml.Unmarshal(data, &probe)
+	if err != nil {
+		return "platform file", []string{err.Error()}, nil
+	}
+	if probe.Roles == nil {
+		_, err = platform.ParseSettings(data)
+		if err != nil {
+			return "platform settings", []string{err.Error()}, nil
+		}
+		return "platform settings", nil, nil
+	}
+	programs, faults, err := platform.LoadDeploy(path)
+	for _, program := range programs {
+		faults = append(faults, checkProgram(program)...)
+	}
+	return "deploy file", faults, err
+}
+
+// checkProgram returns what is wrong with the command line of a role.
+func checkProgram(program platform.Program) []string {
+	var parsed commands
+	parser, err := kong.New(&parsed, kong.Name("zinniapulley"))
+	if err == nil {
+		_, err = parser.Parse(program.Arguments)
+	}
+	if err != nil {
+		return []string{fmt.Sprintf("roles.%s.run: %v", program.Name, err)}
+	}
+	ports := map[string]uint16{
+		"entry": parsed.Platform.Entry.MetricsPort, "companion": parsed.Platform.Companion.MetricsPort, "control": parsed.Platform.Control.MetricsPort,
+	}
+	if len(program.Arguments) < 2 || program.Arguments[0] != "platform" {
+		return []string{fmt.Sprintf("roles.%s.run: is no command for the platform", program.Name)}
+	}
+	port, _, _ := strings.Cut(program.Metrics, "/")
+	if program.Metrics != "" && port != strconv.Itoa(int(ports[program.Arguments[1]])) {
+		return []string{fmt.Sprintf("roles.%s.metrics: port %s isn't the --metrics-port of its command", program.Name, port)}
+	}
+	return nil
+}
--- a/cmd/zinniapulley/main.go
+++ b/cmd/zinniapulley/main.go
@@ -17,7 +17,7 @@
 	Entry      entryCommand      `cmd:"" help:"Run an entry instance: take packets from the fabric and send each to its companion."`
 	Companion  companionCommand  `cmd:"" help:"Run the companion of a backend server: announce it, admit its flows and deliver them."`
 	Control    controlCommand    `cmd:"" help:"Run a control instance: keep the replicated configuration, membership and placement."`
-	Check      checkCommand      `cmd:"" help:"Check a settings file or a configuration document and list every fault."`
+	Check      checkCommand      `cmd:"" help:"Check a settings file, a configuration document or a deploy file and list every fault."`
 	Platform   platformCommand   `cmd:"" help:"Run a role as the users' platform starts it; the environment names the settings file."`
 	Config     configCommand     `cmd:"" help:"Read and change the configuration."`
 	Status     statusCommand     `cmd:"" help:"Show members, instances with their revisions, and backend servers."`
--- a/cmd/zinniapulley/platform.go
+++ b/cmd/zinniapulley/platform.go
@@ -49,7 +49,8 @@
 
 // platformProcess is what each of these roles is built from.
 type platformProcess struct {
-	MetricsPort uint16 `help:"TCP port of the metrics; 0 for none." default:"0"`
+	MetricsPort uint16     `help:"TCP port of the metrics; 0 for none." default:"0"`
+	LogLevel    slog.Level `help:"Least level of the lines that are written: debug, info, warn or error." default:"info"`
 
 	settings *platform.Settings
 	log      *slog.Logger
@@ -69,7 +70,7 @@
 	}
 	p.settings = settings
 	p.known.Store(&settings.Seeds)
-	p.log = slog.New(slog.NewTextHandler(os.Stdout, nil)).With("instance", settings.Instance)
+	p.log = slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: p.LogLevel})).With("instance", settings.Instance)
 	p.metrics = metrics.NewRegistry()
 	return nil
 }
@@ -126,7 +127,7 @@
 }
 
 // reload reads the settings again on a signal. Of a running process only the seeds
-// change; the rest is taken up by its next start.
+// change; the rest is taken up by its next start, and named.
 func (p *platformProcess) reload(ctx context.Context) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
@@ -137,10 +138,24 @@
 			return
 		case <-signals:
 			p.log.Info("settings read again", "seeds", p.seeds())
+			p.nameLater()
 		}
 	}
 }
 
+// nameLater writes which changed settings wait for the next start.
+func (p *platformProcess) nameLater() {
+	changed, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		// Reading the seeds has said so.
+		return
+	}
+	names := p.settings.Changed(changed)
+	if len(names) > 0 {
+		p.log.Warn("changed settings wait for the next start", "settings", names)
+	}
+}
+
 // metricsHandler writes the metrics as text.
 func metricsHandler(registry metrics.Registry) http.Handler {
 	mux := http.NewServeMux()
