--- a/roles/control/directory.go
+++ b/roles/control/directory.go
@@ -56,8 +56,10 @@
 	h.peers = list
 }
 
-// listDelay is how long a change of the list of companions waits for others.
-const listDelay = 50 * time.Millisecond
+// listDelay is how long a companion that may hold flows waits to be listed, with
+// others. It is well below the time that an entry instance waits after its start
+// before it resets flows, a second.
+const listDelay = 250 * time.Millisecond
 
 // companionHeard is what a companion last said of itself.
 type companionHeard struct {
@@ -133,7 +135,7 @@
 		said := companionHeard{when: now, holding: e.hello.Holding}
 		h.companions[at] = said
 		listed, _ := h.state.Companion(at)
-		if wanted, _ := h.listing(now, at, said); wanted != listed && now.Add(listDelay).Before(h.sweep) {
+		if wanted, holds := h.listing(now, at, said); holds && wanted != listed && now.Add(listDelay).Before(h.sweep) {
 			h.sweep = now.Add(listDelay)
 		}
 		return
