--- a/roles/companion/companion.go
+++ b/roles/companion/companion.go
@@ -52,7 +52,7 @@
 	// Server is the UDP address at which the backend server takes packets.
 	Server netip.AddrPort
 	// Health is the TCP address at which the backend server takes health checks for as
-	// long as it runs. It is only connected to.
+	// long as it runs. It is only connected to. Invalid for none.
 	Health netip.AddrPort
 	// Service is what the backend server is expected to serve.
 	Service core.ServiceName
--- a/roles/companion/look.go
+++ b/roles/companion/look.go
@@ -23,16 +23,17 @@
 
 func (suspected) handle(c *control, now time.Time) { c.look(now) }
 
-// searching reports whether it is still open if a backend server runs.
-func (c *control) searching(now time.Time) bool {
+// searching reports whether it will still be open at the given time if a backend
+// server runs, when nothing is heard until then.
+func (c *control) searching(at time.Time) bool {
 	target := c.registration.Target()
-	return !target.Known && !target.Ended && now.Sub(began) <= c.companion.config.Gate.FirstAnnouncement
+	return c.companion.config.Health.IsValid() && !target.Known && !target.Ended && at.Sub(began) <= c.companion.config.Gate.FirstAnnouncement
 }
 
 // look has the backend server's address connected to.
 func (c *control) look(now time.Time) {
 	c.lookDue = now.Add(lookInterval)
-	if c.looking || now.Sub(c.looked) < lookInterval {
+	if !c.companion.config.Health.IsValid() || c.looking || now.Sub(c.looked) < lookInterval {
 		return
 	}
 	c.looking, c.looked = true, now
