--- a/roles/feed/start.go
+++ b/roles/feed/start.go
@@ -49,10 +49,16 @@
 // askSeed asks the seed with the given number, by the settings of the moment, until
 // it has an answer of use or ctx is done.
 func (f *feed) askSeed(ctx context.Context, number int, answers chan<- firstAnswer) {
+	var at netip.AddrPort
+	client := wire.NewClient(at)
+	logged := false
 	for pause := pauseMin; ctx.Err() == nil; pause = min(2*pause, pauseMax) {
 		seeds := f.config.Seeds()
-		at := seeds[number%len(seeds)]
-		client := wire.NewClient(at)
+		if at != seeds[number%len(seeds)] {
+			client.Close()
+			at = seeds[number%len(seeds)]
+			client = wire.NewClient(at)
+		}
 		reply, err := call(ctx, client, wire.SyncRequest{Instance: f.config.Instance})
 		if err == nil && (len(reply.View) > 0 || !reply.Behind) {
 			select {
@@ -61,8 +67,8 @@
 			case <-ctx.Done():
 			}
 		}
-		client.Close()
-		if pause == pauseMin {
+		if !logged {
+			logged = true
 			f.config.Log.Info("seed without a view, asking again", "at", at, "behind", reply.Behind, "error", err)
 		}
 		select {
@@ -70,4 +76,5 @@
 		case <-time.After(pause):
 		}
 	}
+	client.Close()
 }
--- a/roles/feed/start_test.go
+++ b/roles/feed/start_test.go
@@ -71,6 +71,21 @@
 	return server.Address()
 }
 
+// feedConfig sets up a feed that hands its updates to the channel.
+func feedConfig(updates chan<- feed.Update, seeds ...netip.AddrPort) feed.Config {
+	return feed.Config{
+		Instance: "x", Seeds: func() []netip.AddrPort { return seeds },
+		Log: slog.New(slog.DiscardHandler), Random: rand.New(rand.NewPCG(1, 1)),
+		Post: func(_ context.Context, update feed.Update) error {
+			select {
+			case updates <- update:
+			default:
+			}
+			return nil
+		},
+	}
+}
+
 // TestSeedsAreAskedAtOnceAtTheStart has one seed that never answers and one that
 // answers only while the other is being asked.
 func TestSeedsAreAskedAtOnceAtTheStart(t *testing.T) {
@@ -88,19 +103,66 @@
 		return nil
 	})
 	updates := make(chan feed.Update, 100)
-	go feed.Run(ctx, feed.Config{
-		Instance: "x", Seeds: func() []netip.AddrPort { return []netip.AddrPort{silent.address, answering} },
-		Log: slog.New(slog.DiscardHandler), Random: rand.New(rand.NewPCG(1, 1)),
-		Post: func(_ context.Context, update feed.Update) error {
-			select {
-			case updates <- update:
-			default:
-			}
-			return nil
-		},
-	})
+	go feed.Run(ctx, feedConfig(updates, silent.address, answering))
 	var first feed.Update
 	g.Eventually(updates, 20*time.Second).Should(gomega.Receive(&first))
 	g.Expect(first.View).NotTo(gomega.BeNil())
 	g.Expect(first.View.Revision).To(gomega.BeEquivalentTo(5))
 }
+
+// TestSeedIsAskedAgainOnTheSameConnection has a seed that knows nothing for a while.
+func TestSeedIsAskedAgainOnTheSameConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	view, err := wire.EncodeView(&route.View{Revision: 5})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var calls, opened atomic.Int64
+	connections := &counter{}
+	seed := startSeed(t, ctx, func(_ wire.SyncRequest, reply *wire.SyncReply) error {
+		reply.Behind = true
+		if calls.Add(1) == 4 {
+			reply.View = view
+			opened.Store(connections.opened.Load())
+		}
+		return nil
+	})
+	connections.pass(t, ctx, seed)
+	updates := make(chan feed.Update, 100)
+	go feed.Run(ctx, feedConfig(updates, connections.address))
+	g.Eventually(updates, 20*time.Second).Should(gomega.Receive())
+	g.Expect(opened.Load()).To(gomega.BeEquivalentTo(1))
+}
+
+// counter passes connections on and counts them.
+type counter struct {
+	address netip.AddrPort
+	opened  atomic.Int64
+}
+
+// pass listens and passes connections on to the address.
+func (c *counter) pass(t *testing.T, ctx context.Context, to netip.AddrPort) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	c.address = listener.Addr().(*net.TCPAddr).AddrPort()
+	go func() {
+		for {
+			from, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			c.opened.Add(1)
+			onward, err := net.Dial("tcp4", to.String())
+			if err != nil {
+				_ = from.Close()
+				continue
+			}
+			go func() { _, _ = io.Copy(onward, from); _ = onward.Close() }()
+			go func() { _, _ = io.Copy(from, onward); _ = from.Close() }()
+		}
+	}()
+}
