--- a/passthrough/ended_test.go
+++ b/passthrough/ended_test.go
@@ -84,3 +84,21 @@
 	b.gate.FromServer(b.now, &passthrough.Packet{Key: flowKey(1), Flags: core.TCPAck, Seq: 5001, Length: 100})
 	b.g.Expect(b.gate.Suspect(b.now)).To(gomega.BeFalse())
 }
+
+// A backend server whose first announcement came late, on a machine under load, was
+// taken not to run, and its flows were reset (soak, seed 444).
+func TestBackendServerThatIsFoundMayHoldFlows(t *testing.T) {
+	b := newBench(t)
+	b.registration = passthrough.NewRegistration(start, gateConfig().AnnouncementLimit)
+	b.gate = passthrough.NewGate(b.now, gateConfig())
+	b.gate.SetTable(b.now, table(1))
+	b.after(time.Millisecond)
+	target, taken := b.registration.Accepted()
+	b.g.Expect(taken).To(gomega.BeTrue())
+	b.gate.SetTarget(target)
+	b.after(time.Minute / 2)
+	b.expect(b.gate.Question(b.now, entryAt, flowKey(1)), passthrough.GateNote, passthrough.ReasonUnknownFlow)
+	b.g.Expect(b.gate.Status(b.now).Departed).To(gomega.BeFalse())
+	b.g.Expect(b.refuse()).To(gomega.BeTrue())
+	b.g.Expect(b.gate.Status(b.now).Departed).To(gomega.BeTrue())
+}
--- a/passthrough/gate.go
+++ b/passthrough/gate.go
@@ -282,7 +282,7 @@
 
 // alone reports whether no backend server runs beside the companion.
 func (g *Gate) alone(now time.Time) bool {
-	return g.target.Over() || (!g.target.Known && now.Sub(g.started) > g.config.FirstAnnouncement)
+	return g.target.Alone(now, g.started, g.config.FirstAnnouncement)
 }
 
 // mayHold reports whether the backend server's service may hold the flow.
--- a/passthrough/target.go
+++ b/passthrough/target.go
@@ -35,6 +35,9 @@
 	// EndedAt, was refused. It is set of one that isn't known, too.
 	Ended   bool
 	EndedAt time.Time
+	// Found says that something runs at its address, of one that isn't known: a
+	// connection to it was accepted.
+	Found bool
 	// Start counts the starts of backend servers that were known here.
 	Start int
 	// Younger says that it started no earlier than this companion, so that all its
@@ -122,10 +125,27 @@
 	if r.target.Gone || r.target.Ended || !r.target.Heard.Before(began) {
 		return r.target, false
 	}
-	r.target.Ended, r.target.EndedAt = true, began
+	r.target.Ended, r.target.EndedAt, r.target.Found = true, began, false
 	return r.target, true
 }
 
+// Accepted takes that a connection to the backend server's address was accepted. It
+// reports false if that says nothing new.
+func (r *Registration) Accepted() (Target, bool) {
+	if r.target.Known || r.target.Found {
+		return r.target, false
+	}
+	r.target.Found, r.target.Ended = true, false
+	return r.target, true
+}
+
+// Alone reports whether no backend server runs beside a companion that began at the
+// given time. One that is silent for firstWithin is taken not to run, unless something
+// was found at its address.
+func (t *Target) Alone(now, began time.Time, firstWithin time.Duration) bool {
+	return t.Over() || (!t.Known && !t.Found && now.Sub(began) > firstWithin)
+}
+
 // Over reports whether no backend server runs beside the companion.
 func (t *Target) Over() bool { return t.Gone || t.Ended }
 
--- a/roles/companion/control.go
+++ b/roles/companion/control.go
@@ -78,14 +78,12 @@
 func (c *control) holding() hop.Holding {
 	target := c.registration.Target()
 	switch {
-	case target.Over():
+	case target.Alone(time.Now(), began, c.companion.config.Gate.FirstAnnouncement):
 		return hop.HoldingNone
 	case target.Draining:
 		return hop.HoldingDraining
 	case target.Known:
 		return hop.HoldingFlows
-	case time.Since(began) > c.companion.config.Gate.FirstAnnouncement:
-		return hop.HoldingNone
 	default:
 		return hop.HoldingUnsure
 	}
--- a/roles/companion/look.go
+++ b/roles/companion/look.go
@@ -27,7 +27,7 @@
 // server runs, when nothing is heard until then.
 func (c *control) searching(at time.Time) bool {
 	target := c.registration.Target()
-	return c.companion.config.Health.IsValid() && !target.Known && !target.Ended && at.Sub(began) <= c.companion.config.Gate.FirstAnnouncement
+	return c.companion.config.Health.IsValid() && !target.Known && !target.Alone(at, began, c.companion.config.Gate.FirstAnnouncement)
 }
 
 // look has the backend server's address connected to.
@@ -63,6 +63,14 @@
 
 func (e connected) handle(c *control, now time.Time) {
 	c.looking = false
+	if e.err == nil {
+		target, taken := c.registration.Accepted()
+		if taken {
+			c.change(func(s *state) { s.target = target })
+			c.companion.config.Log.Info("backend server found, not announced yet", "at", c.companion.config.Health)
+		}
+		return
+	}
 	if !errors.Is(e.err, syscall.ECONNREFUSED) {
 		return
 	}
