--- a/cmd/zinniapulley/check_platform.go
+++ b/cmd/zinniapulley/check_platform.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"strings"
 
-	"github.com/BurntSushi/toml"
 	"github.com/alecthomas/kong"
+	"github.com/juju/errors"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/platform"
 )
@@ -22,25 +22,21 @@
 	if err != nil {
 		return "", nil, core.At("read", core.Peer(path), err)
 	}
-	var probe struct {
-		Roles map[string]any `toml:"roles"`
-	}
-	err = toml.Unmarshal(data, &probe)
-	if err != nil {
-		return "platform file", []string{err.Error()}, nil
-	}
-	if probe.Roles == nil {
+	programs, faults, err := platform.ParseDeploy(data)
+	if errors.Is(err, platform.ErrNoRoles) {
 		_, err = platform.ParseSettings(data)
 		if err != nil {
 			return "platform settings", []string{err.Error()}, nil
 		}
 		return "platform settings", nil, nil
 	}
-	programs, faults, err := platform.LoadDeploy(path)
+	if err != nil {
+		return "platform file", []string{err.Error()}, nil
+	}
 	for _, program := range programs {
 		faults = append(faults, checkProgram(program)...)
 	}
-	return "deploy file", faults, err
+	return "deploy file", faults, nil
 }
 
 // checkProgram returns what is wrong with the command line of a role.
--- a/cmd/zinniapulley/platform.go
+++ b/cmd/zinniapulley/platform.go
@@ -114,16 +114,23 @@
 // seeds returns the control instances that the settings file names by now. The file
 // may change without a signal; while it can't be read, what it named before holds.
 func (p *platformProcess) seeds() []netip.AddrPort {
+	_ = p.readAgain()
+	return *p.known.Load()
+}
+
+// readAgain reads the settings file and takes up its seeds. It returns nil for a file
+// that isn't usable.
+func (p *platformProcess) readAgain() *platform.Settings {
 	changed, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		p.log.Error("settings not usable, the seeds read before stay", "error", err)
-		return *p.known.Load()
+		return nil
 	}
 	before := p.known.Swap(&changed.Seeds)
 	if !slices.Equal(*before, changed.Seeds) {
 		p.log.Info("seeds changed", "before", *before, "seeds", changed.Seeds)
 	}
-	return changed.Seeds
+	return changed
 }
 
 // reload reads the settings again on a signal. Of a running process only the seeds
@@ -137,19 +144,17 @@
 		case <-ctx.Done():
 			return
 		case <-signals:
-			p.log.Info("settings read again", "seeds", p.seeds())
-			p.nameLater()
+			changed := p.readAgain()
+			p.log.Info("settings read again", "seeds", *p.known.Load())
+			if changed != nil {
+				p.nameLater(changed)
+			}
 		}
 	}
 }
 
 // nameLater writes which changed settings wait for the next start.
-func (p *platformProcess) nameLater() {
-	changed, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
-	if err != nil {
-		// Reading the seeds has said so.
-		return
-	}
+func (p *platformProcess) nameLater(changed *platform.Settings) {
 	names := p.settings.Changed(changed)
 	if len(names) > 0 {
 		p.log.Warn("changed settings wait for the next start", "settings", names)
--- a/durable/record.go
+++ b/durable/record.go
@@ -13,8 +13,6 @@
 // checksum of both, four bytes each, big-endian.
 const headerBytes = 8
 
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
-
 // recordWriter encodes records as one gob stream: the first one brings the types,
 // and each later one only values. A generation may hold several streams; a new one
 // must follow a record that was encoded but not stored.
@@ -44,7 +42,9 @@
 	return nil
 }
 
+// checksum makes its table at the first call: most processes have no disk.
 func checksum(length, body []byte) uint32 {
+	castagnoli := crc32.MakeTable(crc32.Castagnoli)
 	return crc32.Update(crc32.Checksum(length, castagnoli), castagnoli, body)
 }
 
--- a/roles/companion/control.go
+++ b/roles/companion/control.go
@@ -70,15 +70,15 @@
 	}
 	config := &c.companion.config
 	traffic.SendHello(c.companion.peers, c.controls, hop.Hello{
-		Packets: config.Packets, Companion: true, Holding: c.holding(),
+		Packets: config.Packets, Companion: true, Holding: c.holding(now),
 	}, config.Log)
 }
 
 // holding returns whether flows may live here.
-func (c *control) holding() hop.Holding {
+func (c *control) holding(now time.Time) hop.Holding {
 	target := c.registration.Target()
 	switch {
-	case target.Alone(time.Now(), began, c.companion.config.Gate.FirstAnnouncement):
+	case target.Alone(now, began, c.companion.config.Gate.FirstAnnouncement):
 		return hop.HoldingNone
 	case target.Draining:
 		return hop.HoldingDraining
@@ -100,7 +100,7 @@
 type stopping struct{}
 
 func (stopping) handle(c *control, now time.Time) {
-	c.leaving = c.holding() == hop.HoldingNone
+	c.leaving = c.holding(now) == hop.HoldingNone
 	c.sayHello(now)
 }
 
--- a/roles/companion/owner.go
+++ b/roles/companion/owner.go
@@ -50,35 +50,28 @@
 	sent     passthrough.Status
 	sentAt   time.Time
 	sentTo   int
-
-	counters   [passthrough.ReasonCount]metrics.Counter
-	sendErrors metrics.Counter
-	malformed  metrics.Counter
+	meter    *traffic.Meter
 }
 
 func newOwner(c *Companion) *owner {
 	registry := c.config.Metrics
 	o := &owner{
-		companion:  c,
-		gate:       passthrough.NewGate(time.Now(), c.config.Gate),
-		state:      c.state.Load(),
-		log:        c.lines.Logger(),
-		admitted:   asynclog.Limit{PerSecond: admittedLines},
-		failed:     asynclog.Limit{PerSecond: failedLines},
-		began:      asynclog.Limit{PerSecond: requestLines},
-		late:       asynclog.Limit{PerSecond: lateLines},
-		requests:   make(map[core.FlowKey]string),
-		sendErrors: metrics.GetOrRegisterCounter("packets.notSent", registry),
-		malformed:  metrics.GetOrRegisterCounter("packets.malformed", registry),
+		companion: c,
+		gate:      passthrough.NewGate(time.Now(), c.config.Gate),
+		state:     c.state.Load(),
+		log:       c.lines.Logger(),
+		admitted:  asynclog.Limit{PerSecond: admittedLines},
+		failed:    asynclog.Limit{PerSecond: failedLines},
+		began:     asynclog.Limit{PerSecond: requestLines},
+		late:      asynclog.Limit{PerSecond: lateLines},
+		requests:  make(map[core.FlowKey]string),
+		meter:     traffic.NewMeter(registry),
 	}
 	served := metrics.GetOrRegisterHistogram("requests.microseconds", registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	o.gate.Served = func(key core.FlowKey, took time.Duration) {
 		served.Update(took.Microseconds())
 		o.answered(key, took)
 	}
-	for reason := range o.counters {
-		o.counters[reason] = metrics.GetOrRegisterCounter("packets."+passthrough.Reason(reason).String(), registry)
-	}
 	return o
 }
 
@@ -107,7 +100,7 @@
 		err = o.fromServer(now, d.Data)
 	}
 	if err != nil {
-		o.malformed.Inc(1)
+		o.meter.Malformed.Inc(1)
 	}
 }
 
@@ -186,7 +179,7 @@
 	codec := o.companion.config.Codec
 	for i := range actions {
 		a := &actions[i]
-		o.counters[a.Reason].Inc(1)
+		o.meter.Decided(a.Reason)
 		switch a.Kind {
 		case passthrough.GateDeliver:
 			o.writeOut(a.Packet.Data, o.companion.config.Server)
@@ -253,17 +246,11 @@
 }
 
 func (o *owner) write(datagram []byte, to netip.AddrPort) {
-	_, err := o.companion.peers.WriteToUDPAddrPort(datagram, to)
-	if err != nil {
-		o.sendErrors.Inc(1)
-	}
+	o.meter.Send(o.companion.peers, datagram, to)
 }
 
 func (o *owner) writeOut(datagram []byte, to netip.AddrPort) {
-	_, err := o.companion.outbound.WriteToUDPAddrPort(datagram, to)
-	if err != nil {
-		o.sendErrors.Inc(1)
-	}
+	o.meter.Send(o.companion.outbound, datagram, to)
 }
 
 // logAction writes a line for an admitted flow and for what isn't delivered.
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -29,26 +29,18 @@
 	routed     asynclog.Limit
 	failed     asynclog.Limit
 	buffer     []byte
-	counters   [passthrough.ReasonCount]metrics.Counter
-	sendErrors metrics.Counter
-	malformed  metrics.Counter
+	meter      *traffic.Meter
 }
 
 func newOwner(e *Entry) *owner {
-	o := &owner{
+	return &owner{
 		entry:      e,
 		dispatcher: passthrough.NewDispatcher(time.Now(), e.config.DataCentre),
 		log:        e.lines.Logger(),
 		routed:     asynclog.Limit{PerSecond: routedLines},
 		failed:     asynclog.Limit{PerSecond: failedLines},
-		sendErrors: metrics.GetOrRegisterCounter("packets.notSent", e.config.Metrics),
-		malformed:  metrics.GetOrRegisterCounter("packets.malformed", e.config.Metrics),
+		meter:      traffic.NewMeter(e.config.Metrics),
 	}
-	for reason := range o.counters {
-		name := "packets." + passthrough.Reason(reason).String()
-		o.counters[reason] = metrics.GetOrRegisterCounter(name, e.config.Metrics)
-	}
-	return o
 }
 
 // Handle takes one datagram.
@@ -74,7 +66,7 @@
 func (o *owner) fromCaller(now time.Time, datagram []byte) {
 	packet, err := o.entry.config.Codec.FromCaller(datagram)
 	if err != nil {
-		o.malformed.Inc(1)
+		o.meter.Malformed.Inc(1)
 		return
 	}
 	o.carryOut(now, o.dispatcher.Handle(now, &packet))
@@ -100,10 +92,10 @@
 			o.entry.known.Store(int64(o.dispatcher.Companions()))
 		}
 	default:
-		o.malformed.Inc(1)
+		o.meter.Malformed.Inc(1)
 	}
 	if err != nil {
-		o.malformed.Inc(1)
+		o.meter.Malformed.Inc(1)
 		o.log.Warn("datagram not taken", "from", d.From, "error", err)
 	}
 }
@@ -130,7 +122,7 @@
 func (o *owner) carryOut(now time.Time, actions []passthrough.Dispatch) {
 	for i := range actions {
 		a := &actions[i]
-		o.counters[a.Reason].Inc(1)
+		o.meter.Decided(a.Reason)
 		switch a.Kind {
 		case passthrough.DispatchForward:
 			o.send(hop.KindForward, a)
@@ -149,28 +141,21 @@
 func (o *owner) send(kind hop.Kind, a *passthrough.Dispatch) {
 	envelope := hop.Envelope{Kind: kind, Reason: a.Reason, Version: o.dispatcher.Version(), Packet: a.Packet.Data}
 	o.buffer = hop.AppendEnvelope(o.buffer[:0], envelope)
-	_, err := o.entry.peers.WriteToUDPAddrPort(o.buffer, a.To)
-	if err != nil {
-		o.sendErrors.Inc(1)
-	}
+	o.meter.Send(o.entry.peers, o.buffer, a.To)
 }
 
 func (o *owner) question(a *passthrough.Dispatch) {
 	datagram, err := hop.EncodeQuestion(a.Packet.Key)
-	if err == nil {
-		_, err = o.entry.peers.WriteToUDPAddrPort(datagram, a.To)
-	}
 	if err != nil {
-		o.sendErrors.Inc(1)
+		o.log.Error("question not sent", "flow", a.Packet.Key, "error", err)
+		return
 	}
+	o.meter.Send(o.entry.peers, datagram, a.To)
 }
 
 func (o *owner) reset(a *passthrough.Dispatch) {
 	codec := o.entry.config.Codec
-	_, err := o.entry.callers.WriteToUDPAddrPort(codec.Reset(a.Packet.Key, a.ResetSeq), codec.Caller(a.Packet.Key))
-	if err != nil {
-		o.sendErrors.Inc(1)
-	}
+	o.meter.Send(o.entry.callers, codec.Reset(a.Packet.Key, a.ResetSeq), codec.Caller(a.Packet.Key))
 }
 
 // logAction writes a line for a new flow's choice and for what isn't forwarded.
--- a/roles/feed/start.go
+++ b/roles/feed/start.go
@@ -23,8 +23,8 @@
 	defer stop()
 	answers := make(chan firstAnswer)
 	var askers sync.WaitGroup
-	for i := range f.config.Seeds() {
-		askers.Go(func() { f.askSeed(asking, i, answers) })
+	for i, seed := range f.controls {
+		askers.Go(func() { f.askSeed(asking, i, seed, answers) })
 	}
 	go func() {
 		askers.Wait()
@@ -46,19 +46,12 @@
 	}
 }
 
-// askSeed asks the seed with the given number, by the settings of the moment, until
-// it has an answer of use or ctx is done.
-func (f *feed) askSeed(ctx context.Context, number int, answers chan<- firstAnswer) {
-	var at netip.AddrPort
+// askSeed asks the seed with the given number until it has an answer of use or ctx
+// is done. After a pause it follows the settings of the moment.
+func (f *feed) askSeed(ctx context.Context, number int, at netip.AddrPort, answers chan<- firstAnswer) {
 	client := wire.NewClient(at)
 	logged := false
-	for pause := pauseMin; ctx.Err() == nil; pause = min(2*pause, pauseMax) {
-		seeds := f.config.Seeds()
-		if at != seeds[number%len(seeds)] {
-			client.Close()
-			at = seeds[number%len(seeds)]
-			client = wire.NewClient(at)
-		}
+	for pause := pauseMin; ; pause = min(2*pause, pauseMax) {
 		reply, err := call(ctx, client, wire.SyncRequest{Instance: f.config.Instance})
 		if err == nil && (len(reply.View) > 0 || !reply.Behind) {
 			select {
@@ -73,8 +66,15 @@
 		}
 		select {
 		case <-ctx.Done():
+			client.Close()
+			return
 		case <-time.After(pause):
 		}
+		seeds := f.config.Seeds()
+		if at != seeds[number%len(seeds)] {
+			client.Close()
+			at = seeds[number%len(seeds)]
+			client = wire.NewClient(at)
+		}
 	}
-	client.Close()
 }
--- /dev/null
+++ b/roles/traffic/meter.go
@@ -0,0 +1,40 @@
+package traffic
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/rcrowley/go-metrics"
+	"zinniapulley.dev/passthrough"
+)
+
+// Meter counts what a packet path does with datagrams.
+type Meter struct {
+	// Malformed counts datagrams that couldn't be read.
+	Malformed metrics.Counter
+	reasons   [passthrough.ReasonCount]metrics.Counter
+	notSent   metrics.Counter
+}
+
+// NewMeter returns a meter whose counters are in the registry.
+func NewMeter(registry metrics.Registry) *Meter {
+	m := &Meter{
+		Malformed: metrics.GetOrRegisterCounter("packets.malformed", registry),
+		notSent:   metrics.GetOrRegisterCounter("packets.notSent", registry),
+	}
+	for reason := range m.reasons {
+		m.reasons[reason] = metrics.GetOrRegisterCounter("packets."+passthrough.Reason(reason).String(), registry)
+	}
+	return m
+}
+
+// Decided counts a decision by its reason.
+func (m *Meter) Decided(reason passthrough.Reason) { m.reasons[reason].Inc(1) }
+
+// Send writes a datagram, and counts one that can't be written.
+func (m *Meter) Send(socket *net.UDPConn, datagram []byte, to netip.AddrPort) {
+	_, err := socket.WriteToUDPAddrPort(datagram, to)
+	if err != nil {
+		m.notSent.Inc(1)
+	}
+}
