--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -148,11 +148,22 @@
 	return leader
 }
 
+// committedBy proposes the command until a leader among the members has committed it,
+// and returns that leader. A leader may lose its leadership before it has.
+func committedBy(t *testing.T, members []*member, command string) *member {
+	t.Helper()
+	var leader *member
+	gomega.NewWithT(t).Eventually(func() string {
+		leader = leaderAmong(t, members)
+		return propose(leader, command)
+	}, 20*time.Second, 50*time.Millisecond).Should(gomega.Equal(command))
+	return leader
+}
+
 func TestAcceptedCommandReachesAllMembers(t *testing.T) {
 	g := gomega.NewWithT(t)
 	members := startMembers(t, 3)
-	leader := leaderAmong(t, members)
-	g.Expect(propose(leader, "one")).To(gomega.Equal("one"))
+	committedBy(t, members, "one")
 	for _, m := range members {
 		g.Eventually(func() string {
 			return askMember(m, func(m *member, _ time.Time, r loop.Reply[string]) { r.Answer(m.machine.value) })
@@ -163,10 +174,8 @@
 // TestLeaderWithStalledDiskTransfersLeadership stalls the leader's disk. Commands
 // must be committed again while the stall lasts.
 func TestLeaderWithStalledDiskTransfersLeadership(t *testing.T) {
-	g := gomega.NewWithT(t)
 	members := startMembers(t, 3)
-	leader := leaderAmong(t, members)
-	g.Expect(propose(leader, "before")).To(gomega.Equal("before"))
+	leader := committedBy(t, members, "before")
 	leader.stalled.Store(true)
 	defer leader.stalled.Store(false)
 	go propose(leader, "held")
@@ -176,8 +185,7 @@
 			others = append(others, m)
 		}
 	}
-	next := leaderAmong(t, others)
-	g.Eventually(func() string { return propose(next, "after") }, 20*time.Second, 50*time.Millisecond).Should(gomega.Equal("after"))
+	committedBy(t, others, "after")
 }
 
 func TestFollowerRefusesProposals(t *testing.T) {
--- a/wire/server.go
+++ b/wire/server.go
@@ -34,10 +34,20 @@
 	return core.At("register rpc", core.Peer(name), s.rpc.RegisterName(name, receiver))
 }
 
-// Serve answers calls until ctx is done, then closes every connection.
+// Serve answers calls until ctx is done, then closes every connection. The address is
+// free once it has returned.
 func (s *Server) Serve(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		_ = s.listener.Close()
+	})
+	defer func() {
+		if !stop() {
+			// Accept fails before Close has released the address.
+			<-closed
+		}
+	}()
 	for {
 		conn, err := s.listener.Accept()
 		if err != nil {
