--- /dev/null
+++ b/passthrough/expectation.go
@@ -0,0 +1,67 @@
+package passthrough
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// confirmWeight is the weight of the last confirmation's time in the mean.
+	confirmWeight = 0.1
+	// confirmFactor is how many mean times a confirmation may take before it isn't
+	// expected any more, minConfirmTime and maxConfirmTime the bounds of that time.
+	confirmFactor  = 4
+	minConfirmTime = 50 * time.Millisecond
+	maxConfirmTime = 500 * time.Millisecond
+)
+
+// expectations counts the flows whose first request is expected: those that were
+// admitted and that their callers will still confirm. After an outage most opening
+// packets belong to attempts that their callers have abandoned.
+type expectations struct {
+	// queue holds the admitted flows in order, from the first that may be expected.
+	queue []*gateFlow
+	count int
+	// meanTime is the moving average of the time from admission to confirmation, zero
+	// while unknown.
+	meanTime time.Duration
+}
+
+// admitted records an admitted flow.
+func (e *expectations) admitted(now time.Time, flow *gateFlow) {
+	flow.admittedAt, flow.expected = now, true
+	e.queue = append(e.queue, flow)
+	e.count++
+}
+
+// confirmed records that the caller has confirmed the flow.
+func (e *expectations) confirmed(now time.Time, flow *gateFlow) {
+	took := now.Sub(flow.admittedAt)
+	if e.meanTime == 0 {
+		e.meanTime = took
+	}
+	e.meanTime += time.Duration(confirmWeight * float64(took-e.meanTime))
+	e.remove(flow)
+}
+
+// remove stops counting the flow.
+func (e *expectations) remove(flow *gateFlow) {
+	if flow.expected {
+		flow.expected = false
+		e.count--
+	}
+}
+
+// expire stops counting the flows whose confirmation is overdue.
+func (e *expectations) expire(now time.Time) {
+	limit := maxConfirmTime
+	if e.meanTime > 0 {
+		limit = min(max(confirmFactor*e.meanTime, minConfirmTime), maxConfirmTime)
+	}
+	expired := 0
+	for expired < len(e.queue) && now.Sub(e.queue[expired].admittedAt) > limit {
+		e.remove(e.queue[expired])
+		expired++
+	}
+	e.queue = slices.Delete(e.queue, 0, expired)
+}
--- a/passthrough/gate.go
+++ b/passthrough/gate.go
@@ -110,6 +110,10 @@
 	entry netip.AddrPort
 	// lookupCopy is set when that packet was a lookup copy, sent to others too.
 	lookupCopy bool
+	// admittedAt is when the flow was admitted here; expected is set while its first
+	// request is expected.
+	admittedAt time.Time
+	expected   bool
 	// synAckSeen is set once synAckSeq, the sequence number with which the backend
 	// server opened the flow, is valid.
 	synAckSeen bool
@@ -125,9 +129,11 @@
 	// awaitingAnswer is set while a request, begun at requestStart, has no answer.
 	awaitingAnswer bool
 	requestStart   time.Time
-	callerFin      bool
-	serverFin      bool
-	lastSeen       time.Time
+	// waited is set if all slots were taken then.
+	waited    bool
+	callerFin bool
+	serverFin bool
+	lastSeen  time.Time
 }
 
 // Gate decides for one companion. It must be used by one goroutine only.
@@ -139,8 +145,8 @@
 	flows   map[core.FlowKey]*gateFlow
 	running int
 	open    int
-	// halfOpen counts the flows whose first request is expected.
-	halfOpen int
+	// expected counts the flows whose first request is expected.
+	expected expectations
 	pace     pace
 	health   health
 	// delivered holds the delivery times of the newest opening packets.
@@ -250,9 +256,10 @@
 		g.out = append(g.out, GateAction{Kind: GateRefuse, Reason: reason, To: entry, Packet: p})
 		return
 	}
-	g.flows[p.Key] = &gateFlow{stage: stageHalfOpen, entry: entry, lastSeen: now}
+	flow = &gateFlow{stage: stageHalfOpen, entry: entry, lastSeen: now}
+	g.flows[p.Key] = flow
 	g.open++
-	g.halfOpen++
+	g.expected.admitted(now, flow)
 	g.delivered = append(g.delivered, now)
 	if g.openingUnanswered.IsZero() {
 		g.openingUnanswered = now
--- a/passthrough/gate_answer.go
+++ b/passthrough/gate_answer.go
@@ -76,11 +76,11 @@
 // requestAnswered ends the request whose answer the packet begins.
 func (g *Gate) requestAnswered(now time.Time, p *Packet, flow *gateFlow) {
 	took := now.Sub(flow.requestStart)
-	g.pace.answered(now, g.running >= g.target.Slots)
 	g.health.lastProgress = now
 	if p.Failure {
 		g.health.failure(now)
 	} else {
+		g.pace.answered(now, took, flow.waited, g.running, g.target.Slots)
 		g.health.answered(now, took)
 	}
 	g.endRequest(flow)
@@ -130,9 +130,7 @@
 	if flow.stage == stageHalfOpen || flow.stage == stageOpen {
 		g.open--
 	}
-	if flow.stage == stageHalfOpen {
-		g.halfOpen--
-	}
+	g.expected.remove(flow)
 	flow.stage = stageClosed
 }
 
--- a/passthrough/gate_follow.go
+++ b/passthrough/gate_follow.go
@@ -20,7 +20,7 @@
 		return
 	}
 	flow.stage = stageOpen
-	g.halfOpen--
+	g.expected.confirmed(now, flow)
 	g.note(NoteHeld, ReasonOpened, p.Key, flow.entry)
 	g.laterPacket(now, p, flow)
 }
@@ -41,7 +41,7 @@
 		g.expectResponse(now)
 	}
 	if flow.stage == stageOpen && flow.carriesNewData(p) && !flow.awaitingAnswer {
-		flow.awaitingAnswer, flow.requestStart = true, now
+		flow.awaitingAnswer, flow.requestStart, flow.waited = true, now, g.running >= g.target.Slots
 		if g.running == 0 {
 			g.health.lastProgress = now
 		}
--- a/passthrough/pace.go
+++ b/passthrough/pace.go
@@ -1,14 +1,12 @@
 package passthrough
 
-import (
-	"time"
-)
+import "time"
 
 const (
-	// paceWeight is the weight of a new interval in the mean: about the last twenty
-	// answers count.
+	// paceWeight is the weight of a new interval in the mean, once there are as many:
+	// about the last twenty answers count.
 	paceWeight = 0.05
-	// maxPaceInterval caps one interval, so that a pause doesn't count as work.
+	// maxPaceInterval caps one interval.
 	maxPaceInterval = time.Second
 	// urgentPriority is the lowest priority whose requests may use urgentShare of the
 	// time in which callers expect their answer.
@@ -25,35 +23,46 @@
 	freeQueue = 2
 )
 
-// pace measures the rate of answers while all slots of a backend server are taken.
+// pace measures how often a backend server with all slots taken answers.
 type pace struct {
-	last time.Time
-	// interval is the mean time between two answers; zero while unknown.
+	// saturatedSince is the time of the last answer after which all slots remained
+	// taken; zero if some slot has been free since the last answer.
+	saturatedSince time.Time
+	// interval is the mean time between two answers, of so many samples; zero while
+	// unknown.
 	interval time.Duration
+	samples  int
 }
 
-// answered records an answer. saturated is set if all slots were taken before it.
-func (p *pace) answered(now time.Time, saturated bool) {
-	if !saturated {
-		p.last = time.Time{}
-		return
+// answered records an answer. took is the time that it took, slots is how many requests
+// the backend server runs at once, and running how many were running until then. waited
+// is set if all slots were taken when the request began.
+func (p *pace) answered(now time.Time, took time.Duration, waited bool, running, slots int) {
+	switch {
+	case !p.saturatedSince.IsZero():
+		p.add(now.Sub(p.saturatedSince))
+	case !waited && slots > 0:
+		p.add(took / time.Duration(slots))
 	}
-	if !p.last.IsZero() {
-		interval := min(now.Sub(p.last), maxPaceInterval)
-		if p.interval == 0 {
-			p.interval = interval
-		}
-		p.interval += time.Duration(paceWeight * float64(interval-p.interval))
+	p.saturatedSince = time.Time{}
+	if running > slots {
+		p.saturatedSince = now
 	}
-	p.last = now
+}
+
+func (p *pace) add(interval time.Duration) {
+	p.samples++
+	weight := max(paceWeight, 1/float64(p.samples))
+	p.interval += time.Duration(weight * float64(min(interval, maxPaceInterval)-p.interval))
 }
 
 // busy reports whether the first request of a new flow would wait so long that its
 // answer would miss the route's objective. Refusing it is better than delaying all
 // requests behind it. While the pace is unknown, as after a start, nothing is
 // admitted beyond the free queue.
-func (g *Gate) busy(p *Packet) bool {
-	ahead := g.running + g.halfOpen
+func (g *Gate) busy(now time.Time, p *Packet) bool {
+	g.expected.expire(now)
+	ahead := g.running + g.expected.count
 	if ahead < freeQueue*g.target.Slots {
 		return false
 	}
--- /dev/null
+++ b/passthrough/pace_test.go
@@ -0,0 +1,104 @@
+package passthrough_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/route"
+)
+
+const (
+	// serviceTime is how long a request takes at a backend server, without waiting.
+	serviceTime = 30 * time.Millisecond
+	// roundTrip is the time from an opening packet to its caller's confirmation.
+	roundTrip = 6 * time.Millisecond
+)
+
+// exchange opens a flow, sends one request on it and, after its service time, answers
+// it and closes the flow.
+func (b *harness) exchange(port int) {
+	b.t.Helper()
+	b.expect(b.send(syn(port)), passthrough.GateDeliver, passthrough.ReasonAdmitted)
+	b.synAck(port)
+	b.advance(roundTrip)
+	b.send(&passthrough.Packet{Key: flowKey(port), Flags: core.TCPAck, Ack: 5001})
+	b.send(data(port, 5001))
+	b.advance(serviceTime)
+	b.answer(port, passthrough.Packet{Flags: core.TCPAck, Length: 100})
+	b.send(&passthrough.Packet{Key: flowKey(port), Flags: core.TCPRst, Ack: 5101})
+}
+
+func (b *harness) synAck(port int) {
+	b.gate.FromServer(b.now, &passthrough.Packet{Key: flowKey(port), Flags: core.TCPSyn | core.TCPAck, Seq: 5000})
+}
+
+// newPaceHarness returns a harness whose backend server takes many flows.
+func newPaceHarness(t *testing.T) *harness {
+	b := newHarness(t)
+	wide := *table(2).View
+	wide.Services = []route.Service{{Name: "feed", MaxConnections: 2000}}
+	b.gate.SetTable(start, route.Compile(&wide))
+	return b
+}
+
+// admittedOf sends an opening packet on each of the flows and returns how many were
+// admitted.
+func (b *harness) admittedOf(first, count int) int {
+	admitted := 0
+	for port := first; port < first+count; port++ {
+		if b.send(syn(port))[0].Kind == passthrough.GateDeliver {
+			admitted++
+		}
+	}
+	return admitted
+}
+
+// Two requests that met by chance, long before the next two, counted as a
+// backend server that takes that long for an answer. After an outage, servers with
+// idle slots refused callers for that reason.
+func TestIdleTimeBetweenRequestsIsNotServiceTime(t *testing.T) {
+	b := newPaceHarness(t)
+	for round := range 20 {
+		first, second := 2*round, 2*round+1
+		b.request(first)
+		b.request(second)
+		b.advance(serviceTime)
+		for _, port := range []int{first, second} {
+			b.answer(port, passthrough.Packet{Flags: core.TCPAck, Length: 100})
+			b.send(&passthrough.Packet{Key: flowKey(port), Flags: core.TCPRst, Ack: 5101})
+		}
+		b.advance(150 * time.Millisecond)
+	}
+	// The route expects answers within 100 ms: three rounds of two slots.
+	b.g.Expect(b.admittedOf(1000, 5)).To(gomega.Equal(5))
+}
+
+// A backend server that was never saturated still has a pace: that of its answers.
+func TestPaceIsKnownWithoutSaturation(t *testing.T) {
+	b := newPaceHarness(t)
+	for port := range 20 {
+		b.exchange(port)
+		b.advance(100 * time.Millisecond)
+	}
+	// Of 100 ms, other routes may spend 60 on waiting: 4 requests of 15 ms each.
+	b.g.Expect(b.admittedOf(1000, 20)).To(gomega.Equal(5))
+}
+
+// After an outage most opening packets are copies of abandoned attempts. They occupied
+// the queue for three seconds each, and callers that still waited were refused.
+func TestAbandonedOpeningPacketsDoNotCountAsExpectedRequests(t *testing.T) {
+	b := newPaceHarness(t)
+	for port := range 20 {
+		b.exchange(port)
+	}
+	abandoned := b.admittedOf(100, 20)
+	b.g.Expect(abandoned).To(gomega.BeNumerically("<", 20), "all are expected at first")
+	for port := range abandoned {
+		b.synAck(100 + port)
+	}
+	b.advance(100 * time.Millisecond)
+	b.g.Expect(b.admittedOf(200, 20)).To(gomega.Equal(abandoned))
+}
--- a/passthrough/target.go
+++ b/passthrough/target.go
@@ -180,7 +180,7 @@
 	if service != nil && service.MaxConnections > 0 && g.open >= service.MaxConnections {
 		return ReasonConnectionLimit
 	}
-	if g.busy(p) {
+	if g.busy(now, p) {
 		return ReasonBusy
 	}
 	if g.unresponsive(now) {
