--- a/passthrough/choice.go
+++ b/passthrough/choice.go
@@ -21,7 +21,8 @@
 	remotePenalty = 0.15
 	// coldPenalty is the same for cold backend servers, which are slower.
 	coldPenalty = 0.5
-	// stalePenalty is the same for backend servers whose status is old.
+	// stalePenalty is the same for backend servers whose status is old or that don't
+	// respond to this entry instance.
 	stalePenalty = 100.0
 	// failingPenalty is the same for backend servers whose requests fail or stall.
 	failingPenalty = stalePenalty
@@ -142,7 +143,7 @@
 	if c.status.Failing {
 		load += failingPenalty
 	}
-	if now.Sub(c.lastSeen) > statusFresh {
+	if !c.fresh(now) || c.unreachable(now) {
 		load += stalePenalty
 	}
 	return load
--- a/passthrough/dispatcher.go
+++ b/passthrough/dispatcher.go
@@ -13,9 +13,14 @@
 	// retryElsewhereAfter is how long an opening packet may stay unanswered before its
 	// next copy goes to another companion. Callers repeat it after 200 ms.
 	retryElsewhereAfter = 150 * time.Millisecond
-	// statusFresh is the age up to which a companion's status counts in full. It
-	// covers two lost statuses in a row.
-	statusFresh = 700 * time.Millisecond
+	// reportsMissed is how many reports in a row may be missing before a companion's
+	// status doesn't count in full; reportJitter is how late a report may be.
+	reportsMissed = 2
+	reportJitter  = 100 * time.Millisecond
+	// responseLimit is how long a companion may leave an opening packet without any
+	// response before it counts as unreachable, and pathRetry how long it does.
+	responseLimit = 100 * time.Millisecond
+	pathRetry     = time.Second
 	// statusLimit is the age of the last status beyond which a companion is removed.
 	statusLimit = 70 * time.Second
 	// cacheIdle is how long a flow without packets stays in the cache.
@@ -48,6 +53,8 @@
 	DispatchLookup
 	// DispatchQuery sends a companion a query whether it holds the flow.
 	DispatchQuery
+	// DispatchStatusRequest requests a companion's full status.
+	DispatchStatusRequest
 	// DispatchReset answers the caller with a reset.
 	DispatchReset
 	// DispatchDrop discards the packet.
@@ -78,6 +85,36 @@
 	hash uint64
 	// assigned counts the flows sent there since the last status.
 	assigned int
+	// digest identifies the status.
+	digest uint32
+	// unansweredSince is when the first opening packet was sent there since it last
+	// responded to one; zero for none.
+	unansweredSince time.Time
+}
+
+// fresh reports whether the companion's status counts in full.
+func (c *companion) fresh(now time.Time) bool {
+	interval := c.status.ReportInterval
+	if interval == 0 {
+		interval = reportInterval
+	}
+	return now.Sub(c.lastSeen) <= reportsMissed*interval+reportJitter
+}
+
+// unreachable reports whether an opening packet that was sent there remains without a
+// response. A companion that is cut off from this entry instance may still be reported
+// well by others, and its statuses may still arrive.
+func (c *companion) unreachable(now time.Time) bool {
+	waiting := now.Sub(c.unansweredSince)
+	return !c.unansweredSince.IsZero() && waiting > responseLimit && waiting < responseLimit+pathRetry
+}
+
+// sentOpening records that an opening packet was sent there.
+func (c *companion) sentOpening(now time.Time) {
+	c.assigned++
+	if c.unansweredSince.IsZero() || now.Sub(c.unansweredSince) >= responseLimit+pathRetry {
+		c.unansweredSince = now
+	}
 }
 
 // attempt is one companion that an opening packet was sent to.
@@ -134,11 +171,14 @@
 	}
 }
 
-// SetTable puts a newer view in force. It ignores an older one.
-func (d *Dispatcher) SetTable(table *route.Table) {
-	if d.table == nil || table.View.Revision > d.table.View.Revision {
+// SetTable puts a newer view in force. It ignores an older one. It reports whether the
+// view is the first.
+func (d *Dispatcher) SetTable(table *route.Table) bool {
+	first := d.table == nil
+	if first || table.View.Revision > d.table.View.Revision {
 		d.table = table
 	}
+	return first
 }
 
 // Version returns the version of the configuration in force, zero for none.
@@ -215,7 +255,7 @@
 		d.exhausted(now, p, flow)
 		return
 	}
-	best.assigned++
+	best.sentOpening(now)
 	flow.attempts = append(flow.attempts, attempt{companion: best.status.Companion, sentAt: now})
 	d.out = append(d.out, Dispatch{
 		Kind: DispatchForward, Reason: ReasonChosen, To: best.status.Companion, Packet: p,
@@ -305,6 +345,9 @@
 // admitting it. The result is valid until the next call of a method.
 func (d *Dispatcher) HandleRefused(now time.Time, from netip.AddrPort, reason Reason, p *Packet) []Dispatch {
 	d.out = d.out[:0]
+	if c, known := d.companions[from]; known {
+		c.unansweredSince = time.Time{}
+	}
 	flow, known := d.flows[p.Key]
 	if !known || flow.owner.IsValid() || d.table == nil {
 		return d.out
@@ -363,6 +406,7 @@
 	d.out = d.out[:0]
 	if c, known := d.companions[from]; known {
 		c.status.Running, c.status.Flows = note.Running, note.Flows
+		c.unansweredSince = time.Time{}
 	}
 	flow, known := d.flows[note.Key]
 	if !known {
@@ -396,6 +440,7 @@
 	}
 	serviceChanged := !known || c.status.Service != status.Service
 	c.status = status
+	c.digest = status.Digest()
 	c.lastSeen = now
 	c.hadService = !status.Departed && (c.hadService || status.Service != "")
 	c.assigned = 0
@@ -404,6 +449,43 @@
 	}
 }
 
+// HandleLoad records the load of a companion. If it belongs to another status than the
+// one known here, the full status is requested. The result is valid until the next call
+// of a method.
+func (d *Dispatcher) HandleLoad(now time.Time, from netip.AddrPort, load Load) []Dispatch {
+	d.out = d.out[:0]
+	c, known := d.companions[from]
+	if !known || c.digest != load.Digest {
+		d.requestStatus(from)
+		return d.out
+	}
+	c.status.Running, c.status.Flows = load.Running, load.Flows
+	c.lastSeen = now
+	c.assigned = 0
+	return d.out
+}
+
+// RequestStatuses requests the statuses of listed companions that are still missing
+// after a start, so that this entry instance needn't wait until they learn of it. The
+// caller calls it with the first view and at every sweep. The result is valid until the
+// next call of a method.
+func (d *Dispatcher) RequestStatuses(now time.Time) []Dispatch {
+	d.out = d.out[:0]
+	if d.table == nil || now.Sub(d.started) > missingLimit {
+		return d.out
+	}
+	for _, listed := range d.table.View.Companions {
+		if _, known := d.companions[listed.Address]; !known {
+			d.requestStatus(listed.Address)
+		}
+	}
+	return d.out
+}
+
+func (d *Dispatcher) requestStatus(at netip.AddrPort) {
+	d.out = append(d.out, Dispatch{Kind: DispatchStatusRequest, Reason: ReasonStatusUnknown, To: at})
+}
+
 // index groups the companions by service.
 func (d *Dispatcher) index() {
 	clear(d.byService)
--- a/passthrough/packet.go
+++ b/passthrough/packet.go
@@ -70,6 +70,7 @@
 	ReasonBusy
 	ReasonRequest
 	ReasonFailing
+	ReasonStatusUnknown
 
 	// ReasonCount is the number of reasons, for arrays of counters.
 	ReasonCount
@@ -83,6 +84,7 @@
 	"too many connections", "backend server refused", "flow is not here", "backend server has lost the flow",
 	"companion stops", "too many flows are sought", "reset of an unknown flow",
 	"entry instance has just started", "answer would come too late", "request begins", "requests fail there",
+	"status of the companion is missing",
 }
 
 // String returns the reason in words.
@@ -116,6 +118,9 @@
 	Running int
 	// Flows is how many flows are open there.
 	Flows int
+	// ReportInterval is the time between two reports while nothing changes; zero from a
+	// companion that doesn't name it.
+	ReportInterval time.Duration
 }
 
 // NoteKind is what a note reports about a flow.
--- /dev/null
+++ b/passthrough/report.go
@@ -0,0 +1,166 @@
+package passthrough
+
+import (
+	"encoding/binary"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// reportInterval is the time between two reports to all entry instances, for each
+	// companionsPerInterval companions, while nothing that matters for their choice
+	// changes.
+	reportInterval        = 300 * time.Millisecond
+	companionsPerInterval = 170
+	// recentShare is the part of that time between two reports to entry instances that
+	// have just used the companion, and usedRecently how long they count as such.
+	recentShare  = 1. / 3
+	usedRecently = time.Second
+	// fullStatusInterval is the time between two full statuses to all entry instances. It
+	// is below statusLimit, for entry instances of a version that knows no loads.
+	fullStatusInterval = 60 * time.Second
+	// senderRetention is how long after its last packet an entry instance gets reports
+	// although control doesn't list it.
+	senderRetention = 15 * time.Second
+)
+
+// Load is a companion's short report to entry instances that have its full status.
+type Load struct {
+	// Digest identifies the full status that the load belongs to.
+	Digest uint32
+	// Running and Flows are as in Status.
+	Running, Flows int
+}
+
+// Digest identifies all of the status but the load.
+func (s *Status) Digest() uint32 {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, text := range []string{string(s.DataCentre), string(s.Service), s.Server} {
+		_, _ = digest.Write(binary.BigEndian.AppendUint32(nil, uint32(len(text))))
+		_, _ = digest.WriteString(text)
+	}
+	flags := byte(0)
+	for _, flag := range []bool{s.Ready, s.Departed, s.Cold, s.Failing} {
+		flags <<= 1
+		if flag {
+			flags |= 1
+		}
+	}
+	rest := binary.BigEndian.AppendUint64([]byte{flags}, uint64(s.Slots))
+	_, _ = digest.Write(binary.BigEndian.AppendUint64(rest, uint64(s.ReportInterval)))
+	return uint32(digest.Sum64())
+}
+
+// Load returns the short report of the status.
+func (s *Status) Load() Load {
+	return Load{Digest: s.Digest(), Running: s.Running, Flows: s.Flows}
+}
+
+// full reports whether the backend server refuses what waits longer than its free queue.
+func (s *Status) full() bool { return s.Running >= freeQueue*s.Slots }
+
+// Report is what a companion sends, and to which entry instances.
+type Report struct {
+	Status Status
+	// Full is set if the whole status is sent, not only its load.
+	Full bool
+	To   []netip.AddrPort
+}
+
+// Reports decides when a companion reports its status to which entry instances. A
+// change that matters for the choice of a companion goes to all of them at once, and a
+// change of the load alone to those that have just used the companion. The others get
+// the load at an interval that grows with the number of companions, so that what an
+// entry instance receives is bounded.
+type Reports struct {
+	// lastSent is when each entry instance last sent something; lastOpened when it last
+	// sent an opening packet.
+	lastSent   map[netip.AddrPort]time.Time
+	lastOpened map[netip.AddrPort]time.Time
+	// known is the last status that was sent to all, at knownAt; fullAt is when the last
+	// full one was.
+	known   Status
+	knownAt time.Time
+	fullAt  time.Time
+	entries int
+	// load is the last load that was sent to anybody, at loadAt.
+	load   Load
+	loadAt time.Time
+}
+
+// NewReports returns Reports to which nothing has been sent yet.
+func NewReports() *Reports {
+	return &Reports{lastSent: make(map[netip.AddrPort]time.Time), lastOpened: make(map[netip.AddrPort]time.Time)}
+}
+
+// HandlePacket records a packet of an entry instance. opens is set for an opening packet.
+func (r *Reports) HandlePacket(now time.Time, entry netip.AddrPort, opens bool) {
+	r.lastSent[entry] = now
+	if opens {
+		r.lastOpened[entry] = now
+	}
+}
+
+// HandleRequest returns the report for an entry instance that requests the full status.
+// companions is how many companions there are.
+func (r *Reports) HandleRequest(now time.Time, entry netip.AddrPort, status Status, companions int) Report {
+	r.HandlePacket(now, entry, false)
+	status.ReportInterval = intervalFor(companions)
+	return Report{Status: status, Full: true, To: []netip.AddrPort{entry}}
+}
+
+// Due returns the report that is due; its To is empty if none is. entries are the entry
+// instances that control lists, and companions is how many companions there are.
+func (r *Reports) Due(now time.Time, status Status, entries []netip.AddrPort, companions int) Report {
+	status.ReportInterval = intervalFor(companions)
+	recentInterval := time.Duration(recentShare * float64(status.ReportInterval))
+	digest := status.Digest()
+	changed := digest != r.known.Digest() || status.full() != r.known.full() || len(entries) != r.entries
+	switch {
+	case changed || now.Sub(r.fullAt) >= fullStatusInterval:
+		r.fullAt = now
+		r.sentToAll(now, status, len(entries))
+		return Report{Status: status, Full: true, To: r.all(now, entries)}
+	case now.Sub(r.knownAt) >= status.ReportInterval:
+		r.sentToAll(now, status, len(entries))
+		return Report{Status: status, To: r.all(now, entries)}
+	case status.Load() != r.load && now.Sub(r.loadAt) >= recentInterval:
+		r.load, r.loadAt = status.Load(), now
+		return Report{Status: status, To: r.recent(now)}
+	default:
+		return Report{}
+	}
+}
+
+func (r *Reports) sentToAll(now time.Time, status Status, entries int) {
+	r.known, r.knownAt, r.entries = status, now, entries
+	r.load, r.loadAt = status.Load(), now
+}
+
+// intervalFor returns the time between two reports to all entry instances.
+func intervalFor(companions int) time.Duration {
+	return reportInterval * time.Duration(1+companions/companionsPerInterval)
+}
+
+// all returns the listed entry instances and those that have sent something lately.
+func (r *Reports) all(now time.Time, entries []netip.AddrPort) []netip.AddrPort {
+	maps.DeleteFunc(r.lastSent, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > senderRetention })
+	all := slices.Clone(entries)
+	for entry := range r.lastSent {
+		if !slices.Contains(entries, entry) {
+			all = append(all, entry)
+		}
+	}
+	return all
+}
+
+// recent returns the entry instances that have just used the companion.
+func (r *Reports) recent(now time.Time) []netip.AddrPort {
+	maps.DeleteFunc(r.lastOpened, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > usedRecently })
+	return slices.Collect(maps.Keys(r.lastOpened))
+}
--- /dev/null
+++ b/passthrough/report_test.go
@@ -0,0 +1,132 @@
+package passthrough_test
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"zinniapulley.dev/passthrough"
+)
+
+// tick is the time between two calls of Reports.Due.
+const tick = 100 * time.Millisecond
+
+func entries(count int) []netip.AddrPort {
+	var list []netip.AddrPort
+	for i := range count {
+		list = append(list, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 8000))
+	}
+	return list
+}
+
+// loadBytes and statusBytes are the sizes of a load and of a full status with the
+// headers of UDP and IPv4.
+const (
+	loadBytes   = 9 + 28
+	statusBytes = 70 + 28
+)
+
+// bytesPerSecond returns what an entry instance receives a second of so many
+// companions whose load changes at every tick, and used of which it uses.
+func bytesPerSecond(companions, instances, used int) int {
+	const seconds = 60
+	all := entries(instances)
+	received := 0
+	for _, uses := range []bool{false, true} {
+		reports, status, sent := passthrough.NewReports(), statusOf(1), 0
+		for i := range seconds * int(time.Second/tick) {
+			now := start.Add(time.Duration(i) * tick)
+			if uses {
+				reports.HandlePacket(now, all[0], true)
+			}
+			status.Running = i % 2
+			report := reports.Due(now, status, all, companions)
+			size := loadBytes
+			if report.Full {
+				size = statusBytes
+			}
+			if slices.Contains(report.To, all[0]) {
+				sent += size
+			}
+		}
+		if uses {
+			received += used * sent
+		} else {
+			received += (companions - used) * sent
+		}
+	}
+	return received / seconds
+}
+
+// Each companion reported to each entry instance up to ten times a second, so that an
+// entry instance received 33,000 reports a second of 3,300 companions. For control, an
+// instance may spend 29 KB a second.
+func TestReportsAreBoundedAtTheLargestSize(t *testing.T) {
+	const (
+		companions = 3300
+		instances  = 500
+		// newFlows is what an entry instance opens a second, each at another companion.
+		newFlows = 58_000 / instances
+		limit    = 29_000
+	)
+	gomega.NewWithT(t).Expect(bytesPerSecond(companions, instances, newFlows)).To(gomega.BeNumerically("<=", limit))
+}
+
+// A change that matters for the choice reaches every entry instance at the next tick.
+func TestChangesThatMatterAreReportedToAllAtOnce(t *testing.T) {
+	changes := map[string]func(*passthrough.Status){
+		"drains or is gone":  func(s *passthrough.Status) { s.Ready = false },
+		"departs":            func(s *passthrough.Status) { s.Departed = true },
+		"starts cold":        func(s *passthrough.Status) { s.Cold = true },
+		"fails":              func(s *passthrough.Status) { s.Failing = true },
+		"fills up":           func(s *passthrough.Status) { s.Running = 2 * s.Slots },
+		"serves another one": func(s *passthrough.Status) { s.Service = "other" },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			reports, all := passthrough.NewReports(), entries(500)
+			status := statusOf(1)
+			reports.Due(start, status, all, 136)
+			g.Expect(reports.Due(start.Add(tick), status, all, 136).To).To(gomega.BeEmpty())
+			change(&status)
+			report := reports.Due(start.Add(2*tick), status, all, 136)
+			g.Expect(report.Full).To(gomega.BeTrue())
+			g.Expect(report.To).To(gomega.HaveLen(500))
+		})
+	}
+}
+
+// An entry instance that uses a companion gets every change of its load, and one that
+// control doesn't list yet gets reports too.
+func TestEntryInstancesInUseGetEveryChange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	reports, all := passthrough.NewReports(), entries(500)
+	status := statusOf(1)
+	reports.Due(start, status, all, 136)
+	reports.HandlePacket(start, all[7], true)
+	status.Running = 1
+	report := reports.Due(start.Add(tick), status, all, 136)
+	g.Expect(report.Full).To(gomega.BeFalse())
+	g.Expect(report.To).To(gomega.Equal(all[7:8]))
+	status.Ready = false
+	reports.HandleRequest(start.Add(tick), companionAt(77), status, 136)
+	g.Expect(reports.Due(start.Add(2*tick), status, all, 136).To).To(gomega.ContainElement(companionAt(77)))
+}
+
+// An entry instance that has missed a status asks for it.
+func TestLoadOfAnUnknownStatusRequestsTheStatus(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(1)
+	status := statusOf(1)
+	g.Expect(d.HandleLoad(start, companionAt(1), status.Load())).To(gomega.BeEmpty())
+	status.Ready = false
+	request := d.HandleLoad(start, companionAt(1), status.Load())
+	g.Expect(targets(request, passthrough.DispatchStatusRequest)).To(gomega.ConsistOf(companionAt(1)))
+	d.HandleStatus(start, status)
+	g.Expect(d.HandleLoad(start, companionAt(1), status.Load())).To(gomega.BeEmpty())
+	unknown := d.HandleLoad(start, companionAt(9), status.Load())
+	g.Expect(targets(unknown, passthrough.DispatchStatusRequest)).To(gomega.ConsistOf(companionAt(9)))
+}
--- a/roles/companion/owner.go
+++ b/roles/companion/owner.go
@@ -26,8 +26,6 @@
 	lateLinesPerSecond    = 60
 	// maxRequests is the maximum number of requests whose identity is kept for the log.
 	maxRequests = 4096
-	// idleStatusInterval is the time between statuses while nothing changes.
-	idleStatusInterval = 300 * time.Millisecond
 	// sampleSize and sampleAlpha are the size of the sample of service times and its
 	// exponential decay factor.
 	sampleSize  = 512
@@ -46,13 +44,13 @@
 	requestLimit  asynclog.Limit
 	lateLimit     asynclog.Limit
 	// requests holds the identities of requests that wait for a response, by flow.
-	requests          map[core.FlowKey]string
-	now               time.Time
-	buffer            []byte
-	lastStatus        passthrough.Status
-	lastStatusAt      time.Time
-	lastStatusEntries int
-	meter             *traffic.Meter
+	requests map[core.FlowKey]string
+	now      time.Time
+	buffer   []byte
+	reports  *passthrough.Reports
+	// failing is whether requests failed or stalled at the last tick.
+	failing bool
+	meter   *traffic.Meter
 }
 
 func newPacketPath(c *Companion) *packetPath {
@@ -67,6 +65,7 @@
 		requestLimit:  asynclog.Limit{PerSecond: requestLinesPerSecond},
 		lateLimit:     asynclog.Limit{PerSecond: lateLinesPerSecond},
 		requests:      make(map[core.FlowKey]string),
+		reports:       passthrough.NewReports(),
 		meter:         traffic.NewMeter(registry),
 	}
 	served := metrics.GetOrRegisterHistogram("requests.microseconds", registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
@@ -107,7 +106,11 @@
 }
 
 func (path *packetPath) fromEntry(now time.Time, d traffic.Datagram) error {
-	if hop.KindOf(d.Data) == hop.KindQuery {
+	switch hop.KindOf(d.Data) {
+	case hop.KindStatusRequest:
+		path.sendReport(path.reports.HandleRequest(now, d.From, path.status(now), path.companions()))
+		return nil
+	case hop.KindQuery:
 		key, err := hop.DecodeQuery(d.Data)
 		if err == nil {
 			path.execute(now, path.gate.HandleQuery(now, d.From, key))
@@ -122,6 +125,7 @@
 	if err != nil {
 		return err
 	}
+	path.reports.HandlePacket(now, d.From, packet.Flags.Opens())
 	path.execute(now, path.gate.FromEntry(now, d.From, envelope.Kind == hop.KindLookup, envelope.Version, &packet))
 	return nil
 }
@@ -139,7 +143,7 @@
 }
 
 // Tick removes expired state, requests a probe if a response is overdue, and sends the
-// entry instances a status if it has changed or the last one is too old.
+// entry instances the report that is due.
 func (path *packetPath) Tick(now time.Time) {
 	path.refresh(now)
 	if path.companion.stopping.Load() {
@@ -149,22 +153,43 @@
 	if path.gate.ResponseOverdue(now) {
 		path.requestProbe()
 	}
-	status := path.gate.Status(now)
-	status.Companion = path.companion.config.Packets
-	if status == path.lastStatus && len(path.state.entries) == path.lastStatusEntries && now.Sub(path.lastStatusAt) < idleStatusInterval {
-		return
-	}
-	if status.Failing != path.lastStatus.Failing {
+	status := path.status(now)
+	if status.Failing != path.failing {
+		path.failing = status.Failing
 		path.log.Warn("health of the backend server", "server", status.Server, "failing", status.Failing, "running", status.Running,
 			"flows", status.Flows, "slots", status.Slots)
 	}
-	path.lastStatus, path.lastStatusAt, path.lastStatusEntries = status, now, len(path.state.entries)
-	datagram, err := hop.EncodeStatus(status)
-	if err != nil {
-		path.log.Error("status not encoded", "error", err)
+	path.sendReport(path.reports.Due(now, status, path.state.entries, path.companions()))
+}
+
+// companions returns how many companions the view lists.
+func (path *packetPath) companions() int {
+	if path.state.table == nil {
+		return 0
+	}
+	return len(path.state.table.View.Companions)
+}
+
+func (path *packetPath) status(now time.Time) passthrough.Status {
+	status := path.gate.Status(now)
+	status.Companion = path.companion.config.Packets
+	return status
+}
+
+func (path *packetPath) sendReport(r passthrough.Report) {
+	if len(r.To) == 0 {
 		return
 	}
-	for _, entry := range path.state.entries {
+	datagram := hop.AppendLoad(nil, r.Status.Load())
+	if r.Full {
+		var err error
+		datagram, err = hop.EncodeStatus(r.Status)
+		if err != nil {
+			path.log.Error("status not encoded", "error", err)
+			return
+		}
+	}
+	for _, entry := range r.To {
 		path.sendToEntry(datagram, entry)
 	}
 }
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -46,8 +46,8 @@
 // Handle processes one datagram.
 func (path *packetPath) Handle(now time.Time, d traffic.Datagram) {
 	table := path.entry.table.Load()
-	if table != nil {
-		path.dispatcher.SetTable(table)
+	if table != nil && path.dispatcher.SetTable(table) {
+		path.execute(now, path.dispatcher.RequestStatuses(now))
 	}
 	if d.Socket == socketCallers {
 		path.fromCaller(now, d.Data)
@@ -59,6 +59,7 @@
 // Tick removes expired flows and companions and updates the gauges.
 func (path *packetPath) Tick(now time.Time) {
 	path.dispatcher.Sweep(now)
+	path.execute(now, path.dispatcher.RequestStatuses(now))
 	path.entry.companionCount.Store(int64(path.dispatcher.Companions()))
 	metrics.GetOrRegisterGauge("flows.cached", path.entry.config.Metrics).Update(int64(path.dispatcher.Flows()))
 }
@@ -84,6 +85,12 @@
 		if err == nil {
 			path.execute(now, path.dispatcher.HandleNote(now, d.From, note))
 		}
+	case hop.KindLoad:
+		var load passthrough.Load
+		load, err = hop.DecodeLoad(d.Data)
+		if err == nil {
+			path.execute(now, path.dispatcher.HandleLoad(now, d.From, load))
+		}
 	case hop.KindStatus:
 		var status passthrough.Status
 		status, err = hop.DecodeStatus(d.Data)
@@ -130,6 +137,8 @@
 			path.send(hop.KindLookup, a)
 		case passthrough.DispatchQuery:
 			path.sendQuery(a)
+		case passthrough.DispatchStatusRequest:
+			path.meter.Send(path.entry.peers, hop.EncodeStatusRequest(), a.To)
 		case passthrough.DispatchReset:
 			path.reset(a)
 		case passthrough.DispatchDrop:
--- a/wire/hop/hop.go
+++ b/wire/hop/hop.go
@@ -1,12 +1,14 @@
 // Package hop encodes the datagrams between entry instances, companions and control
 // instances in pass-through forwarding: callers' packets, notes about flows, flow
-// queries, statuses and heartbeats. A datagram is a byte for its kind, followed by
+// queries, statuses, loads and heartbeats. A datagram is a byte for its kind, followed by
 // a packet with a short header, or by a message in CBOR (RFC 8949).
 package hop
 
 import (
 	"encoding/binary"
+	"math"
 	"net/netip"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
@@ -37,12 +39,18 @@
 	KindHeartbeat
 	// KindQuery is a query whether a companion's backend server holds a flow.
 	KindQuery
+	// KindLoad is a passthrough.Load.
+	KindLoad
+	// KindStatusRequest requests a companion's full status.
+	KindStatusRequest
 )
 
 const (
 	// envelopeHeaderLen is the length in bytes of the header before a packet: the
 	// kind, the reason and the version of the configuration in force at the sender.
 	envelopeHeaderLen = 1 + 1 + 8
+	// loadLen is the length in bytes of a load: the kind, the digest and the two counts.
+	loadLen = 1 + 4 + 2 + 2
 	// MaxDatagram is the size in bytes of the largest datagram.
 	MaxDatagram = 2048
 )
@@ -156,6 +164,8 @@
 	Slots      int              `cbor:"8,keyasint"`
 	Running    int              `cbor:"9,keyasint"`
 	Flows      int              `cbor:"10,keyasint"`
+	// ReportInterval is in nanoseconds.
+	ReportInterval time.Duration `cbor:"12,keyasint"`
 }
 
 // EncodeStatus returns the datagram of a status.
@@ -170,6 +180,29 @@
 	return passthrough.Status(s), err
 }
 
+// AppendLoad appends the datagram of a load to the buffer.
+func AppendLoad(buffer []byte, l passthrough.Load) []byte {
+	buffer = append(buffer, byte(KindLoad))
+	buffer = binary.BigEndian.AppendUint32(buffer, l.Digest)
+	buffer = binary.BigEndian.AppendUint16(buffer, uint16(min(l.Running, math.MaxUint16)))
+	return binary.BigEndian.AppendUint16(buffer, uint16(min(l.Flows, math.MaxUint16)))
+}
+
+// DecodeLoad returns the load of a datagram.
+func DecodeLoad(datagram []byte) (passthrough.Load, error) {
+	if len(datagram) != loadLen {
+		return passthrough.Load{}, errors.Errorf("load of %d bytes instead of %d", len(datagram), loadLen)
+	}
+	return passthrough.Load{
+		Digest:  binary.BigEndian.Uint32(datagram[1:]),
+		Running: int(binary.BigEndian.Uint16(datagram[5:])),
+		Flows:   int(binary.BigEndian.Uint16(datagram[7:])),
+	}, nil
+}
+
+// EncodeStatusRequest returns the datagram that requests a companion's full status.
+func EncodeStatusRequest() []byte { return []byte{byte(KindStatusRequest)} }
+
 // EncodeHeartbeat returns the datagram of a heartbeat.
 func EncodeHeartbeat(h Heartbeat) ([]byte, error) {
 	return encode(KindHeartbeat, h)
