--- a/passthrough/choice.go
+++ b/passthrough/choice.go
@@ -74,7 +74,7 @@
 }
 
 // best returns the least loaded of the first companions, in the flow's order, that
-// can admit it.
+// can admit it. Further ones are compared only if none of these is in good health.
 func (d *Dispatcher) best(now time.Time, key core.FlowKey, flow *cachedFlow, service core.ServiceName) *companion {
 	d.ranked = d.ranked[:0]
 	for _, c := range d.byService[service] {
@@ -82,19 +82,24 @@
 			d.ranked = append(d.ranked, c)
 		}
 	}
-	rank(d.ranked, key)
+	best, load := d.leastLoaded(now, rankFirst(d.ranked, key, choiceCount))
+	if load >= stalePenalty {
+		best, _ = d.leastLoaded(now, d.ranked)
+	}
+	return best
+}
+
+// leastLoaded returns the companion with the least load, nil for none.
+func (d *Dispatcher) leastLoaded(now time.Time, companions []*companion) (*companion, float64) {
 	var best *companion
 	var bestLoad float64
-	for i, c := range d.ranked {
+	for _, c := range companions {
 		load := d.load(now, c)
 		if best == nil || load < bestLoad {
 			best, bestLoad = c, load
 		}
-		if i+1 >= choiceCount && bestLoad < stalePenalty {
-			break
-		}
 	}
-	return best
+	return best, bestLoad
 }
 
 // rank orders companions by rendezvous hashing of the flow. The order is the same
@@ -105,6 +110,26 @@
 	slices.SortFunc(companions, func(a, b *companion) int { return cmp.Compare(b.weight(seed), a.weight(seed)) })
 }
 
+// rankFirst moves the first companions of the order that rank gives, at most count, to
+// the front and returns them.
+func rankFirst(companions []*companion, key core.FlowKey, count int) []*companion {
+	seed := hashOf(key)
+	first := min(count, len(companions))
+	for i, c := range companions {
+		weight := c.weight(seed)
+		if i >= first && weight <= companions[first-1].weight(seed) {
+			continue
+		}
+		at := min(i, first-1)
+		companions[i] = companions[at]
+		for ; at > 0 && companions[at-1].weight(seed) < weight; at-- {
+			companions[at] = companions[at-1]
+		}
+		companions[at] = c
+	}
+	return companions[:first]
+}
+
 // weight returns the companion's rendezvous weight for flows of the seed.
 func (c *companion) weight(seed uint64) uint64 {
 	mixed := seed ^ c.hash
--- a/passthrough/dispatcher.go
+++ b/passthrough/dispatcher.go
@@ -35,7 +35,7 @@
 	// lists the instance to companions. An opening packet without a candidate is
 	// dropped during that time, so that the caller's next copy is tried.
 	startGrace = 1500 * time.Millisecond
-	// pauseLimit is the time between two calls of Sweep, four of its intervals,
+	// pauseLimit is the time between two calls of Sweep, ten of its intervals,
 	// beyond which the process counts as having been paused.
 	pauseLimit = time.Second
 	// maxAttempts is the most companions that one opening packet is tried at.
@@ -53,6 +53,8 @@
 	DispatchLookup
 	// DispatchQuery sends a companion a query whether it holds the flow.
 	DispatchQuery
+	// DispatchSurvey has a companion query others whether they hold the flow.
+	DispatchSurvey
 	// DispatchStatusRequest requests a companion's full status.
 	DispatchStatusRequest
 	// DispatchReset answers the caller with a reset.
@@ -69,6 +71,7 @@
 	Packet *Packet
 	// ResetSeq is the sequence number of the reset.
 	ResetSeq uint32
+	Survey   Survey
 	// Status and Age are what the choice of To was based on, for the log.
 	Status Status
 	Age    time.Duration
@@ -153,7 +156,12 @@
 	// lastSweepCall is when Sweep was last called, lastSweep when it last removed flows.
 	lastSweepCall time.Time
 	lastSweep     time.Time
-	queries       int
+	// queries is how many messages lookups may send, as of refilledAt.
+	queries    float64
+	refilledAt time.Time
+	// lookups counts the lookups; active holds those that await answers.
+	lookups uint32
+	active  map[*flowLookup]core.FlowKey
 	// heldPackets counts the packets held while their flows are looked up.
 	heldPackets int
 	ranked      []*companion
@@ -165,9 +173,12 @@
 	return &Dispatcher{
 		dataCentre: dataCentre,
 		started:    now,
+		queries:    maxQueryBurst,
+		refilledAt: now,
 		companions: make(map[netip.AddrPort]*companion),
 		byService:  make(map[core.ServiceName][]*companion),
 		flows:      make(map[core.FlowKey]*cachedFlow),
+		active:     make(map[*flowLookup]core.FlowKey),
 	}
 }
 
@@ -440,7 +451,10 @@
 	}
 	serviceChanged := !known || c.status.Service != status.Service
 	c.status = status
-	c.digest = status.Digest()
+	if digest := status.Digest(); digest != c.digest {
+		// The companion or its backend server has changed, and may respond by now.
+		c.digest, c.unansweredSince = digest, time.Time{}
+	}
 	c.lastSeen = now
 	c.hadService = !status.Departed && (c.hadService || status.Service != "")
 	c.assigned = 0
@@ -511,7 +525,6 @@
 		return
 	}
 	d.lastSweep = now
-	d.queries = 0
 	for key, flow := range d.flows {
 		idle := now.Sub(flow.lastSeen)
 		if idle > cacheIdle || (flow.closing && idle > closedIdle) {
--- a/passthrough/gate.go
+++ b/passthrough/gate.go
@@ -69,6 +69,9 @@
 	GateReset
 	// GateNote sends the entry instance a note about the flow.
 	GateNote
+	// GateSurveyAnswer tells the companion that conducts a survey that the flow isn't
+	// held here.
+	GateSurveyAnswer
 	// GateDrop discards the packet.
 	GateDrop
 )
@@ -77,12 +80,15 @@
 type GateAction struct {
 	Kind   GateKind
 	Reason Reason
-	// To is the entry instance of GateRefuse, GateNotHeld and GateNote.
+	// To is the entry instance of GateRefuse, GateNotHeld and GateNote, and the companion
+	// of GateSurveyAnswer.
 	To     netip.AddrPort
 	Packet *Packet
 	// ResetSeq is the sequence number of the reset.
 	ResetSeq uint32
 	Note     Note
+	// SurveyNumber is the number of the query of GateSurveyAnswer.
+	SurveyNumber uint32
 }
 
 // stage is the state of a flow.
--- a/passthrough/model_test.go
+++ b/passthrough/model_test.go
@@ -39,6 +39,7 @@
 // modelCompanion is a companion with its backend server.
 type modelCompanion struct {
 	gate         *passthrough.Gate
+	surveys      *passthrough.Surveys
 	registration *passthrough.Registration
 	// flows holds the backend server's flows, half-open ones included, and its first
 	// sequence number of each.
@@ -55,8 +56,8 @@
 func newModel(t *rapid.T, lossy bool) *model {
 	seed := rapid.Uint64().Draw(t, "seed")
 	m := &model{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: start, open: map[core.FlowKey]modelOwner{}, revision: 1, lossy: lossy}
-	for range 4 {
-		m.companions = append(m.companions, &modelCompanion{})
+	for range rapid.SampledFrom([]int{4, 24}).Draw(t, "companions") {
+		m.companions = append(m.companions, &modelCompanion{surveys: passthrough.NewSurveys()})
 	}
 	for i := range m.companions {
 		m.startServer(i)
@@ -171,8 +172,9 @@
 				}
 			}
 		}
-		for _, e := range m.entries {
+		for i, e := range m.entries {
 			e.Sweep(m.now)
+			m.dispatch(i, e.RetryLookups(m.now), 0)
 		}
 	}
 }
@@ -201,12 +203,46 @@
 				i := int(a.To.Addr().As4()[3])
 				m.gate(entry, i, m.companions[i].gate.HandleQuery(m.now, entryName(entry), a.Packet.Key), depth+1)
 			}
+		case passthrough.DispatchSurvey:
+			m.survey(entry, int(a.To.Addr().As4()[3]), a.Survey, depth)
 		case passthrough.DispatchReset:
 			m.reset(a.Packet.Key, a.ResetSeq)
 		}
 	}
 }
 
+// survey has a companion conduct a survey. Answers that don't come are waited for until
+// the survey expires, at the current time.
+func (m *model) survey(entry, conductor int, survey passthrough.Survey, depth int) {
+	if m.messageLost() {
+		return
+	}
+	surveys := m.companions[conductor].surveys
+	query, _ := surveys.Begin(m.now, entryName(entry), survey)
+	for _, at := range survey.Ask {
+		i := int(at.Addr().As4()[3])
+		if m.messageLost() {
+			continue
+		}
+		actions := append([]passthrough.GateAction(nil), m.companions[i].gate.HandleSurveyQuery(m.now, companionAt(conductor), query)...)
+		for _, a := range actions {
+			if a.Kind != passthrough.GateSurveyAnswer {
+				m.gate(entry, i, []passthrough.GateAction{a}, depth+1)
+				continue
+			}
+			finished, done := surveys.NotHeld(companionAt(i), a.SurveyNumber)
+			if done && !m.messageLost() {
+				m.dispatch(entry, m.entries[entry].HandleSurveyResult(m.now, finished.Result), depth+1)
+			}
+		}
+	}
+	for _, finished := range surveys.Expire(m.now.Add(time.Second)) {
+		if !m.messageLost() {
+			m.dispatch(entry, m.entries[entry].HandleSurveyResult(m.now, finished.Result), depth+1)
+		}
+	}
+}
+
 func entryName(i int) netip.AddrPort { return companionAt(100 + i) }
 
 func (m *model) gate(entry, companion int, actions []passthrough.GateAction, depth int) {
--- a/passthrough/search.go
+++ b/passthrough/search.go
@@ -14,11 +14,17 @@
 	// first: those that shared the choice at its opening, and two that may have been
 	// skipped then.
 	narrowLookup = choiceCount + 2
-	// queryTimeout is how long answers to queries take at most, unless they are lost.
-	// It is below the interval at which callers repeat a packet.
-	queryTimeout = 150 * time.Millisecond
-	// lookupLifetime is how long the answers to a lookup's queries are valid.
+	// queryTimeout is how long answers to queries take at most, unless they are lost, and
+	// surveyLimit the same for results of surveys.
+	queryTimeout = 60 * time.Millisecond
+	surveyLimit  = 150 * time.Millisecond
+	// directQueries is the most companions that a lookup of all queries itself; more are
+	// queried by surveys.
+	directQueries = 8
+	// lookupLifetime is how long the answers to a lookup's queries are valid, and
+	// holdLimit how long the owner of a held packet's flow is looked up.
 	lookupLifetime = time.Second
+	holdLimit      = 2 * time.Second
 	// discoveryTime is how long after its start an entry instance has received a
 	// status of every running companion: three intervals between their statuses. A
 	// companion that has just started may not be listed yet.
@@ -31,49 +37,103 @@
 	// record of a backend server counts as departed: six intervals between its
 	// statuses.
 	departedAfter = 2 * time.Second
-	// maxQueriesPerSecond is about 2 Mbit/s.
-	maxQueriesPerSecond = 4000
+	// queriesPerSecond bounds the messages of lookups. With their answers they use a third
+	// of a network of 2 Mbit/s; callers' packets need the rest.
+	queriesPerSecond = 1100
+	// maxQueryBurst is the most messages at once.
+	maxQueryBurst = 300
+	// addressesPerQuery is how many companions of a survey are as long as a query.
+	addressesPerQuery = 8
 	// maxHeldPackets is the most packets held while their flows are looked up.
 	maxHeldPackets = 256
 )
 
 // flowLookup is the state of the lookup of a flow's owner.
 type flowLookup struct {
-	began     time.Time
-	queriedAt time.Time
+	// number identifies the lookup.
+	number uint32
+	began  time.Time
+	// retryAt is when the queries without an answer are repeated.
+	retryAt time.Time
 	// wide is set once the first companions in the flow's order don't hold the flow.
 	wide bool
-	// notHeldBy lists the companions that don't hold the flow.
-	notHeldBy []netip.AddrPort
-	// packet is the newest packet, held until the owner is found; nil for none.
+	// notHeldBy holds the companions that don't hold the flow.
+	notHeldBy map[netip.AddrPort]bool
+	// packet is the newest packet, held since heldAt until the owner is found; nil for
+	// none.
 	packet *Packet
+	heldAt time.Time
 	// sentTo lists the companions that the packet was sent to.
 	sentTo []netip.AddrPort
 	// ack is the caller's last acknowledgement.
 	ack uint32
 }
 
+// expired reports whether answers to the lookup's queries are too old to count.
+func (l *flowLookup) expired(now time.Time) bool { return now.Sub(l.began) > lookupLifetime }
+
 // lookUp starts or continues the lookup of the owner of a packet's flow. notHeldAt,
 // if valid, has just returned the packet and isn't queried.
 func (d *Dispatcher) lookUp(now time.Time, p *Packet, flow *cachedFlow, notHeldAt netip.AddrPort) {
-	if flow.lookup == nil || now.Sub(flow.lookup.began) > lookupLifetime {
-		d.endLookup(flow)
-		flow.lookup = &flowLookup{began: now}
+	if flow.lookup == nil {
+		flow.lookup = &flowLookup{}
+		d.active[flow.lookup] = p.Key
 	}
 	l := flow.lookup
+	if l.expired(now) {
+		d.beginLookup(now, l)
+	}
 	l.ack = p.Ack
-	d.holdPacket(l, p)
+	d.holdPacket(now, l, p)
 	if notHeldAt.IsValid() {
-		l.notHeldBy = append(l.notHeldBy, notHeldAt)
+		l.notHeldBy[notHeldAt] = true
 	}
-	if now.Sub(l.queriedAt) >= queryTimeout {
+	if !now.Before(l.retryAt) {
 		d.sendQueries(now, p.Key, l)
 	}
 	d.concludeLookup(now, p.Key, flow)
 }
 
+// beginLookup starts the lookup anew, without the answers of an earlier one.
+func (d *Dispatcher) beginLookup(now time.Time, l *flowLookup) {
+	d.lookups++
+	l.number, l.began, l.retryAt = d.lookups, now, now
+	l.wide, l.notHeldBy = false, make(map[netip.AddrPort]bool)
+}
+
+// RetryLookups repeats the queries without an answer, without waiting for the caller to
+// repeat its packet, and no longer waits for the first companions before it asks the
+// others. The caller calls it at short intervals. The result is valid until the next
+// call of a method.
+func (d *Dispatcher) RetryLookups(now time.Time) []Dispatch {
+	d.out = d.out[:0]
+	d.refillQueries(now)
+	for l, key := range d.active {
+		if l.packet == nil || now.Sub(l.heldAt) > holdLimit || now.Before(l.retryAt) {
+			continue
+		}
+		if l.expired(now) {
+			d.beginLookup(now, l)
+		}
+		l.wide = l.wide || d.discovered(now)
+		d.sendQueries(now, key, l)
+	}
+	return d.out
+}
+
+// refillQueries adds to the messages that lookups may send.
+func (d *Dispatcher) refillQueries(now time.Time) {
+	elapsed := min(now.Sub(d.refilledAt), time.Second)
+	d.refilledAt = now
+	d.queries = min(d.queries+queriesPerSecond*elapsed.Seconds(), maxQueryBurst)
+}
+
+// discovered reports whether this entry instance has run long enough to know all
+// companions. Before that, no lookup of all companions can end without an owner.
+func (d *Dispatcher) discovered(now time.Time) bool { return now.Sub(d.started) >= discoveryTime }
+
 // holdPacket holds a copy of the packet until the flow's owner is found.
-func (d *Dispatcher) holdPacket(l *flowLookup, p *Packet) {
+func (d *Dispatcher) holdPacket(now time.Time, l *flowLookup, p *Packet) {
 	if l.packet == nil {
 		if d.heldPackets >= maxHeldPackets {
 			return
@@ -82,7 +142,7 @@
 	}
 	held := *p
 	held.Data = slices.Clone(p.Data)
-	l.packet, l.sentTo = &held, l.sentTo[:0]
+	l.packet, l.heldAt, l.sentTo = &held, now, l.sentTo[:0]
 }
 
 func (d *Dispatcher) dropHeldPacket(l *flowLookup) {
@@ -95,6 +155,7 @@
 func (d *Dispatcher) endLookup(flow *cachedFlow) {
 	if flow.lookup != nil {
 		d.dropHeldPacket(flow.lookup)
+		delete(d.active, flow.lookup)
 		flow.lookup = nil
 	}
 }
@@ -102,21 +163,26 @@
 // possibleHolders returns the companions whose backend servers may hold a flow, in
 // the flow's order: all of them if wide is set, otherwise the first ones.
 func (d *Dispatcher) possibleHolders(key core.FlowKey, wide bool) []*companion {
-	var r *route.Route
-	if d.table != nil {
-		r = d.table.Route(key.Service)
-	}
+	r := d.routeOf(key)
 	d.ranked = d.ranked[:0]
 	for _, c := range d.companions {
 		if d.mayHold(c, r) {
 			d.ranked = append(d.ranked, c)
 		}
 	}
-	rank(d.ranked, key)
-	if !wide && len(d.ranked) > narrowLookup {
-		return d.ranked[:narrowLookup]
+	if wide {
+		rank(d.ranked, key)
+		return d.ranked
+	}
+	return rankFirst(d.ranked, key, narrowLookup)
+}
+
+// routeOf returns the route of a flow, nil if there is none.
+func (d *Dispatcher) routeOf(key core.FlowKey) *route.Route {
+	if d.table == nil {
+		return nil
 	}
-	return d.ranked
+	return d.table.Route(key.Service)
 }
 
 // mayHold reports whether the companion may hold a flow of the route. One that has
@@ -133,22 +199,39 @@
 	}
 }
 
-// sendQueries queries the companions in the lookup's scope that haven't answered.
+// sendQueries queries the companions in the lookup's scope that haven't answered, by
+// surveys if they are many.
 func (d *Dispatcher) sendQueries(now time.Time, key core.FlowKey, l *flowLookup) {
-	l.queriedAt = now
-	for _, c := range d.possibleHolders(key, l.wide) {
-		if slices.Contains(l.notHeldBy, c.status.Companion) {
-			continue
-		}
-		if d.queries >= maxQueriesPerSecond {
-			d.drop(&Packet{Key: key}, ReasonLookupLimit)
+	l.retryAt = now.Add(queryTimeout)
+	asked := slices.DeleteFunc(d.possibleHolders(key, l.wide), func(c *companion) bool { return l.notHeldBy[c.status.Companion] })
+	if l.wide && len(asked) > directQueries {
+		l.retryAt = now.Add(surveyLimit)
+		d.sendSurveys(now, key, l, asked)
+		return
+	}
+	d.queryEach(key, asked)
+}
+
+func (d *Dispatcher) queryEach(key core.FlowKey, companions []*companion) {
+	for _, c := range companions {
+		if !d.takeQueries(key, 1) {
 			return
 		}
-		d.queries++
 		d.out = append(d.out, Dispatch{Kind: DispatchQuery, Reason: ReasonUnknownFlow, To: c.status.Companion, Packet: &Packet{Key: key}})
 	}
 }
 
+// takeQueries reports whether a message of a lookup that is as long as so many queries
+// may be sent, and counts it. The lookup is continued by RetryLookups if not.
+func (d *Dispatcher) takeQueries(key core.FlowKey, count float64) bool {
+	if d.queries < count {
+		d.drop(&Packet{Key: key}, ReasonLookupLimit)
+		return false
+	}
+	d.queries -= count
+	return true
+}
+
 // sendHeldToOwner sends the held packet to the flow's owner and ends the lookup.
 func (d *Dispatcher) sendHeldToOwner(now time.Time, flow *cachedFlow) {
 	l := flow.lookup
@@ -160,7 +243,7 @@
 
 // sendLookupCopy sends the held packet to a companion that can't answer without it.
 func (d *Dispatcher) sendLookupCopy(flow *cachedFlow, at netip.AddrPort) {
-	if flow.owner.IsValid() || flow.lookup == nil || flow.lookup.packet == nil {
+	if flow.owner.IsValid() || flow.lookup == nil || flow.lookup.packet == nil || !d.takeQueries(flow.lookup.packet.Key, 1) {
 		return
 	}
 	flow.lookup.sentTo = append(flow.lookup.sentTo, at)
@@ -169,12 +252,10 @@
 
 // recordNotHeld records that a companion doesn't hold the flow.
 func (d *Dispatcher) recordNotHeld(now time.Time, key core.FlowKey, flow *cachedFlow, at netip.AddrPort) {
-	if flow.owner.IsValid() || flow.lookup == nil || now.Sub(flow.lookup.began) > lookupLifetime {
+	if flow.owner.IsValid() || flow.lookup == nil || flow.lookup.expired(now) {
 		return
 	}
-	if !slices.Contains(flow.lookup.notHeldBy, at) {
-		flow.lookup.notHeldBy = append(flow.lookup.notHeldBy, at)
-	}
+	flow.lookup.notHeldBy[at] = true
 	d.concludeLookup(now, key, flow)
 }
 
@@ -187,13 +268,16 @@
 		return
 	}
 	if !l.wide {
+		if !d.discovered(now) {
+			return
+		}
 		l.wide = true
 		d.sendQueries(now, key, l)
 		if !d.noneHolds(now, key, l) {
 			return
 		}
 	}
-	if flow.closing || d.table == nil || d.table.Route(key.Service) == nil || now.Sub(d.started) < discoveryTime || !d.seenAllListed(now) {
+	if flow.closing || d.table == nil || d.table.Route(key.Service) == nil || !d.discovered(now) || !d.seenAllListed(now) {
 		return
 	}
 	if len(l.notHeldBy) == 0 {
@@ -222,8 +306,13 @@
 // noneHolds reports whether every companion in the lookup's scope has answered that
 // it doesn't hold the flow.
 func (d *Dispatcher) noneHolds(now time.Time, key core.FlowKey, l *flowLookup) bool {
-	for _, c := range d.possibleHolders(key, l.wide) {
-		if !slices.Contains(l.notHeldBy, c.status.Companion) && !c.departedUnused(now) {
+	holds := func(c *companion) bool { return !l.notHeldBy[c.status.Companion] && !c.departedUnused(now) }
+	if !l.wide {
+		return !slices.ContainsFunc(d.possibleHolders(key, false), holds)
+	}
+	r := d.routeOf(key)
+	for _, c := range d.companions {
+		if d.mayHold(c, r) && holds(c) {
 			return false
 		}
 	}
--- /dev/null
+++ b/passthrough/survey_test.go
@@ -0,0 +1,203 @@
+package passthrough_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/passthrough"
+)
+
+// fleet returns a Dispatcher with the statuses of so many companions, spread over data
+// centres.
+func fleet(companions, dataCentres int) *passthrough.Dispatcher {
+	d := passthrough.NewDispatcher(start.Add(-time.Hour), "dc0")
+	d.SetTable(table(1))
+	for i := range companions {
+		status := statusOf(1)
+		status.Companion = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)}), 8000)
+		status.DataCentre = core.DataCentre(fmt.Sprintf("dc%d", i%dataCentres))
+		status.ReportInterval = time.Minute
+		d.HandleStatus(start, status)
+	}
+	return d
+}
+
+// Sizes of messages with the headers of UDP and IPv4, in bytes.
+const (
+	queryBytes        = 24 + 28
+	noteBytes         = 26 + 28
+	surveyHeaderBytes = 17 + 28
+	addressBytes      = 6
+)
+
+// lookUpAll looks up a flow that no companion holds until it is reset, and returns the
+// bytes that the entry instance sends and receives for it.
+func lookUpAll(g *gomega.WithT, d *passthrough.Dispatcher, port int) int {
+	bytes, reset := 0, false
+	pending := append([]passthrough.Dispatch{}, d.Handle(start, data(port, 5001))...)
+	for len(pending) > 0 {
+		a := pending[0]
+		pending = pending[1:]
+		var next []passthrough.Dispatch
+		switch a.Kind {
+		case passthrough.DispatchQuery:
+			bytes += queryBytes + noteBytes
+			next = d.HandleNote(start, a.To, passthrough.Note{Kind: passthrough.NoteNotHeld, Key: flowKey(port)})
+		case passthrough.DispatchSurvey:
+			bytes += 2 * (surveyHeaderBytes + addressBytes*len(a.Survey.Ask))
+			next = d.HandleSurveyResult(start, passthrough.SurveyResult{Number: a.Survey.Number, Key: a.Survey.Key, NotHeld: a.Survey.Ask})
+		case passthrough.DispatchReset:
+			reset = true
+		}
+		pending = append(pending, next...)
+	}
+	g.Expect(reset).To(gomega.BeTrue())
+	return bytes
+}
+
+// After an outage every caller of a long flow had to be told that it was lost, and each
+// lookup exchanged a message with every companion: answers were lost on the entry
+// instance's full network, and callers waited for their reset until they had repeated
+// their packet three times, 1.4 s.
+func TestLookupsAfterAnOutageFitTheNetwork(t *testing.T) {
+	const (
+		// network is what an entry instance may send and receive, in bytes a second.
+		network = 250_000
+		// lookups is how many flows callers use first in the busiest second, at one
+		// entry instance.
+		lookups = 30
+	)
+	g := gomega.NewWithT(t)
+	g.Expect(lookups * lookUpAll(g, fleet(109, 6), 1)).To(gomega.BeNumerically("<=", network/2))
+}
+
+// A companion that is cut off delays no other's answer, and the entry instance asks the
+// missing ones itself without waiting for the caller.
+func TestMissingAnswersAreRequestedDirectly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := fleet(40, 1)
+	var surveys []passthrough.Dispatch
+	for _, at := range targets(d.Handle(start, data(1, 5001)), passthrough.DispatchQuery) {
+		surveys = append([]passthrough.Dispatch{}, d.HandleNote(start, at, passthrough.Note{Kind: passthrough.NoteNotHeld, Key: flowKey(1)})...)
+	}
+	survey := surveys[0].Survey
+	missing := survey.Ask[3]
+	answered := append(append([]netip.AddrPort{}, survey.Ask[:3]...), survey.Ask[4:]...)
+	partial := passthrough.SurveyResult{Number: survey.Number, Key: survey.Key, NotHeld: answered}
+	g.Expect(d.HandleSurveyResult(start, partial)).To(gomega.BeEmpty())
+	later := start.Add(200 * time.Millisecond)
+	g.Expect(targets(d.RetryLookups(later), passthrough.DispatchQuery)).To(gomega.ConsistOf(missing))
+	actions := d.HandleNote(later, missing, passthrough.Note{Kind: passthrough.NoteNotHeld, Key: flowKey(1)})
+	g.Expect(actions).To(gomega.HaveLen(1))
+	g.Expect(actions[0].Kind).To(gomega.Equal(passthrough.DispatchReset))
+}
+
+// A companion that conducts a survey may be paused before it sends the result. The flow
+// may have opened in the meantime.
+func TestResultOfAnEarlierLookupIsIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := fleet(40, 1)
+	survey := func(now time.Time) passthrough.Survey {
+		var surveys []passthrough.Dispatch
+		for _, at := range targets(d.Handle(now, data(1, 5001)), passthrough.DispatchQuery) {
+			surveys = append([]passthrough.Dispatch{}, d.HandleNote(now, at, passthrough.Note{Kind: passthrough.NoteNotHeld, Key: flowKey(1)})...)
+		}
+		g.Expect(surveys).To(gomega.HaveLen(1))
+		return surveys[0].Survey
+	}
+	first := survey(start)
+	later := start.Add(1200 * time.Millisecond)
+	second := survey(later)
+	delayed := passthrough.SurveyResult{Number: first.Number, Key: first.Key, NotHeld: first.Ask}
+	g.Expect(d.HandleSurveyResult(later, delayed)).To(gomega.BeEmpty())
+	delayed.Number = second.Number
+	g.Expect(d.HandleSurveyResult(later, delayed)).To(gomega.HaveLen(1))
+}
+
+// The companion that conducts a survey hears of those that don't hold the flow; the one
+// that does tells the entry instance.
+func TestHolderOfAFlowAnswersTheEntryInstance(t *testing.T) {
+	g := gomega.NewWithT(t)
+	surveys, conductor := passthrough.NewSurveys(), companionAt(9)
+	holder, other := newHarness(t), newHarness(t)
+	holder.open(1, 5000)
+	for _, b := range []*harness{holder, other} {
+		a := announcement(2)
+		a.Server, a.Born = "b2", start.UnixMilli()+1
+		b.announce(a)
+	}
+	holder.open(2, 5000)
+	query, begun := surveys.Begin(start, entryAt, passthrough.Survey{Number: 4, Key: flowKey(2), Ask: []netip.AddrPort{companionAt(1), companionAt(2)}})
+	g.Expect(begun).To(gomega.BeTrue())
+	held := holder.gate.HandleSurveyQuery(start, conductor, query)
+	g.Expect(held).To(gomega.HaveLen(1))
+	g.Expect(held[0].To).To(gomega.Equal(entryAt))
+	g.Expect(held[0].Note.Kind).To(gomega.Equal(passthrough.NoteHeld))
+	notHeld := other.gate.HandleSurveyQuery(start, conductor, query)
+	g.Expect(notHeld).To(gomega.HaveLen(1))
+	g.Expect(notHeld[0].Kind).To(gomega.Equal(passthrough.GateSurveyAnswer))
+	g.Expect(notHeld[0].To).To(gomega.Equal(conductor))
+	_, done := surveys.NotHeld(companionAt(2), notHeld[0].SurveyNumber)
+	g.Expect(done).To(gomega.BeFalse(), "one answer is missing")
+	g.Expect(surveys.Expire(start)).To(gomega.BeEmpty())
+	g.Expect(surveys.Expire(start.Add(time.Second))).To(gomega.ConsistOf(passthrough.FinishedSurvey{
+		Entry: entryAt, Result: passthrough.SurveyResult{Number: 4, Key: flowKey(2), NotHeld: []netip.AddrPort{companionAt(2)}},
+	}))
+}
+
+func benchmarkChoice(b *testing.B, companions int) {
+	d := fleet(companions, 7)
+	b.ReportAllocs()
+	port := 0
+	for b.Loop() {
+		port++
+		p := syn(port % 60000)
+		d.Handle(start, p)
+		d.HandleNote(start, companionAt(1), passthrough.Note{Kind: passthrough.NoteHeld, Key: p.Key})
+	}
+}
+
+func BenchmarkChoiceOf10(b *testing.B)   { benchmarkChoice(b, 10) }
+func BenchmarkChoiceOf109(b *testing.B)  { benchmarkChoice(b, 109) }
+func BenchmarkChoiceOf3300(b *testing.B) { benchmarkChoice(b, 3300) }
+
+// An entry instance that had just started looked up every flow at every companion, and
+// again at each repetition, so that its network carried little else.
+func TestMessagesOfLookupsAreBounded(t *testing.T) {
+	const (
+		flows = 1000
+		// limit is a third of a network of 250,000 bytes a second each way.
+		limit = 250_000 / 3
+	)
+	g := gomega.NewWithT(t)
+	d := fleet(109, 6)
+	for now := start; now.Before(start.Add(3 * time.Second)); {
+		sent := 0
+		for second := now.Add(time.Second); now.Before(second); now = now.Add(50 * time.Millisecond) {
+			for port := range flows / 20 {
+				sent += lookupBytes(d.Handle(now, data(port+int(now.Sub(start).Milliseconds()), 5001)))
+			}
+			sent += lookupBytes(d.RetryLookups(now))
+		}
+		g.Expect(sent).To(gomega.BeNumerically("<=", limit))
+		g.Expect(sent).To(gomega.BeNumerically(">", 0))
+	}
+}
+
+// lookupBytes returns the bytes of the messages among the actions.
+func lookupBytes(actions []passthrough.Dispatch) int {
+	bytes := 0
+	for _, a := range actions {
+		switch a.Kind {
+		case passthrough.DispatchQuery:
+			bytes += queryBytes
+		case passthrough.DispatchSurvey:
+			bytes += surveyHeaderBytes + addressBytes*len(a.Survey.Ask)
+		}
+	}
+	return bytes
+}
--- a/roles/companion/owner.go
+++ b/roles/companion/owner.go
@@ -48,6 +48,7 @@
 	now      time.Time
 	buffer   []byte
 	reports  *passthrough.Reports
+	surveys  *passthrough.Surveys
 	// failing is whether requests failed or stalled at the last tick.
 	failing bool
 	meter   *traffic.Meter
@@ -66,6 +67,7 @@
 		lateLimit:     asynclog.Limit{PerSecond: lateLinesPerSecond},
 		requests:      make(map[core.FlowKey]string),
 		reports:       passthrough.NewReports(),
+		surveys:       passthrough.NewSurveys(),
 		meter:         traffic.NewMeter(registry),
 	}
 	served := metrics.GetOrRegisterHistogram("requests.microseconds", registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
@@ -110,6 +112,8 @@
 	case hop.KindStatusRequest:
 		path.sendReport(path.reports.HandleRequest(now, d.From, path.status(now), path.companions()))
 		return nil
+	case hop.KindSurvey, hop.KindSurveyQuery, hop.KindSurveyAnswer:
+		return path.fromSurvey(now, d)
 	case hop.KindQuery:
 		key, err := hop.DecodeQuery(d.Data)
 		if err == nil {
@@ -150,6 +154,9 @@
 		path.gate.Stop()
 	}
 	path.gate.Sweep(now)
+	for _, finished := range path.surveys.Expire(now) {
+		path.sendToEntry(hop.EncodeSurveyResult(finished.Result), finished.Entry)
+	}
 	if path.gate.ResponseOverdue(now) {
 		path.requestProbe()
 	}
@@ -221,6 +228,8 @@
 			path.returnPacket(hop.KindNotHeld, a)
 		case passthrough.GateNote:
 			path.sendNote(a)
+		case passthrough.GateSurveyAnswer:
+			path.meter.Send(path.companion.peers, hop.EncodeSurveyAnswer(a.SurveyNumber), a.To)
 		case passthrough.GateDrop:
 		}
 		path.logAction(now, a)
--- a/roles/entry/entry.go
+++ b/roles/entry/entry.go
@@ -26,8 +26,9 @@
 	mailboxSize = 64
 	// logQueueLength is the maximum number of queued log lines of the packet path.
 	logQueueLength = 512
-	// tickInterval is the time between sweeps of the packet path's state.
-	tickInterval = 250 * time.Millisecond
+	// tickInterval is the time between sweeps of the packet path's state, and how late a
+	// lost query is repeated at most.
+	tickInterval = 50 * time.Millisecond
 	// heartbeatInterval is the time between heartbeats to the control instances.
 	heartbeatInterval = 200 * time.Millisecond
 	// shutdownDelay is how long a shutdown waits until routers send callers' packets to
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -60,6 +60,7 @@
 func (path *packetPath) Tick(now time.Time) {
 	path.dispatcher.Sweep(now)
 	path.execute(now, path.dispatcher.RequestStatuses(now))
+	path.execute(now, path.dispatcher.RetryLookups(now))
 	path.entry.companionCount.Store(int64(path.dispatcher.Companions()))
 	metrics.GetOrRegisterGauge("flows.cached", path.entry.config.Metrics).Update(int64(path.dispatcher.Flows()))
 }
@@ -91,6 +92,12 @@
 		if err == nil {
 			path.execute(now, path.dispatcher.HandleLoad(now, d.From, load))
 		}
+	case hop.KindSurveyResult:
+		var result passthrough.SurveyResult
+		result, err = hop.DecodeSurveyResult(d.Data)
+		if err == nil {
+			path.execute(now, path.dispatcher.HandleSurveyResult(now, result))
+		}
 	case hop.KindStatus:
 		var status passthrough.Status
 		status, err = hop.DecodeStatus(d.Data)
@@ -137,6 +144,8 @@
 			path.send(hop.KindLookup, a)
 		case passthrough.DispatchQuery:
 			path.sendQuery(a)
+		case passthrough.DispatchSurvey:
+			path.meter.Send(path.entry.peers, hop.EncodeSurvey(a.Survey), a.To)
 		case passthrough.DispatchStatusRequest:
 			path.meter.Send(path.entry.peers, hop.EncodeStatusRequest(), a.To)
 		case passthrough.DispatchReset:
--- a/wire/hop/hop.go
+++ b/wire/hop/hop.go
@@ -1,7 +1,8 @@
 // Package hop encodes the datagrams between entry instances, companions and control
 // instances in pass-through forwarding: callers' packets, notes about flows, flow
-// queries, statuses, loads and heartbeats. A datagram is a byte for its kind, followed by
-// a packet with a short header, or by a message in CBOR (RFC 8949).
+// queries, surveys, statuses, loads and heartbeats. A datagram is a byte for its kind, followed by
+// a packet with a short header, by a message in CBOR (RFC 8949), or by fixed fields
+// where a message is frequent.
 package hop
 
 import (
@@ -43,6 +44,14 @@
 	KindLoad
 	// KindStatusRequest requests a companion's full status.
 	KindStatusRequest
+	// KindSurvey is a passthrough.Survey.
+	KindSurvey
+	// KindSurveyQuery is a passthrough.SurveyQuery.
+	KindSurveyQuery
+	// KindSurveyAnswer answers a SurveyQuery: the flow isn't held.
+	KindSurveyAnswer
+	// KindSurveyResult is a passthrough.SurveyResult.
+	KindSurveyResult
 )
 
 const (
