--- a/passthrough/choice.go
+++ b/passthrough/choice.go
@@ -27,9 +27,10 @@
 	// failingPenalty is the same for backend servers whose requests fail or stall.
 	failingPenalty = stalePenalty
 	// choiceCount is how many candidates, first in the flow's order, are compared by
-	// load at its opening. A flow that isn't in the cache is looked up at the first
-	// companions of the same order.
+	// load at its opening, and localCount how many more of this data centre. A flow that
+	// isn't in the cache is looked up at the first companions of the same order.
 	choiceCount = 4
+	localCount  = 4
 )
 
 // choose returns the companion that an opening packet goes to next, nil if there
@@ -82,7 +83,7 @@
 			d.ranked = append(d.ranked, c)
 		}
 	}
-	best, load := d.leastLoaded(now, rankFirst(d.ranked, key, choiceCount))
+	best, load := d.leastLoaded(now, d.first(d.ranked, key, choiceCount, localCount))
 	if load >= stalePenalty {
 		best, _ = d.leastLoaded(now, d.ranked)
 	}
@@ -110,11 +111,33 @@
 	slices.SortFunc(companions, func(a, b *companion) int { return cmp.Compare(b.weight(seed), a.weight(seed)) })
 }
 
+// first returns the first companions in the flow's order, at most count, and the first
+// of this data centre, at most local. It reorders the given ones. The result is valid
+// until its next call.
+func (d *Dispatcher) first(companions []*companion, key core.FlowKey, count, local int) []*companion {
+	d.local = d.local[:0]
+	for _, c := range companions {
+		if c.status.DataCentre == d.dataCentre {
+			d.local = append(d.local, c)
+		}
+	}
+	d.firsts = append(d.firsts[:0], rankFirst(companions, key, count)...)
+	for _, c := range rankFirst(d.local, key, local) {
+		if !slices.Contains(d.firsts, c) {
+			d.firsts = append(d.firsts, c)
+		}
+	}
+	return d.firsts
+}
+
 // rankFirst moves the first companions of the order that rank gives, at most count, to
 // the front and returns them.
 func rankFirst(companions []*companion, key core.FlowKey, count int) []*companion {
 	seed := hashOf(key)
 	first := min(count, len(companions))
+	if first == 0 {
+		return nil
+	}
 	for i, c := range companions {
 		weight := c.weight(seed)
 		if i >= first && weight <= companions[first-1].weight(seed) {
--- a/passthrough/dispatcher.go
+++ b/passthrough/dispatcher.go
@@ -32,12 +32,14 @@
 	callerCopies = 2
 	// startGrace is how long after its start an entry instance may have received no
 	// status from some companions: three status intervals, and the time until control
-	// lists the instance to companions. An opening packet without a candidate is
-	// dropped during that time, so that the caller's next copy is tried.
+	// lists the instance to companions. An opening packet without a candidate waits
+	// during that time.
 	startGrace = 1500 * time.Millisecond
 	// pauseLimit is the time between two calls of Sweep, ten of its intervals,
 	// beyond which the process counts as having been paused.
 	pauseLimit = time.Second
+	// requestInterval is the time between two requests of missing statuses.
+	requestInterval = 200 * time.Millisecond
 	// maxAttempts is the most companions that one opening packet is tried at.
 	maxAttempts = 6
 )
@@ -59,6 +61,8 @@
 	DispatchStatusRequest
 	// DispatchReset answers the caller with a reset.
 	DispatchReset
+	// DispatchWait keeps the packet until it can be decided about.
+	DispatchWait
 	// DispatchDrop discards the packet.
 	DispatchDrop
 )
@@ -159,13 +163,19 @@
 	// queries is how many messages lookups may send, as of refilledAt.
 	queries    float64
 	refilledAt time.Time
+	// firstRequestAt and requestedAt are when statuses were first and last requested.
+	firstRequestAt time.Time
+	requestedAt    time.Time
 	// lookups counts the lookups; active holds those that await answers.
 	lookups uint32
 	active  map[*flowLookup]core.FlowKey
+	// waiting holds the opening packets that can't be decided yet, by flow.
+	waiting map[core.FlowKey]waitingPacket
 	// heldPackets counts the packets held while their flows are looked up.
 	heldPackets int
-	ranked      []*companion
-	out         []Dispatch
+	// ranked, local and firsts are reused by the choices.
+	ranked, local, firsts []*companion
+	out                   []Dispatch
 }
 
 // NewDispatcher returns a Dispatcher without a view.
@@ -179,6 +189,7 @@
 		byService:  make(map[core.ServiceName][]*companion),
 		flows:      make(map[core.FlowKey]*cachedFlow),
 		active:     make(map[*flowLookup]core.FlowKey),
+		waiting:    make(map[core.FlowKey]waitingPacket),
 	}
 }
 
@@ -220,18 +231,20 @@
 
 // openingPacket decides about a packet that requests a new flow.
 func (d *Dispatcher) openingPacket(now time.Time, p *Packet) {
-	if d.table == nil {
-		d.drop(p, ReasonNoView)
+	if !d.settled(now) {
+		d.wait(now, p, d.unsettledReason())
 		return
 	}
 	flow, known := d.flows[p.Key]
 	if known && flow.owner.IsValid() {
 		flow.lastSeen = now
+		d.stopWaiting(p.Key)
 		d.forward(now, p, flow.owner, ReasonCached)
 		return
 	}
 	r := d.table.Route(p.Key.Service)
 	if r == nil {
+		d.stopWaiting(p.Key)
 		d.reset(p, ReasonNoRoute)
 		return
 	}
@@ -266,6 +279,7 @@
 		d.exhausted(now, p, flow)
 		return
 	}
+	d.triedAgain(p.Key)
 	best.sentOpening(now)
 	flow.attempts = append(flow.attempts, attempt{companion: best.status.Companion, sentAt: now})
 	d.out = append(d.out, Dispatch{
@@ -279,9 +293,10 @@
 	if len(flow.attempts) == 0 {
 		d.remove(p.Key, flow)
 		if now.Sub(d.started) < startGrace {
-			d.drop(p, ReasonStarting)
+			d.wait(now, p, ReasonStarting)
 			return
 		}
+		d.stopWaiting(p.Key)
 		d.reset(p, ReasonNoCandidate)
 		return
 	}
@@ -296,10 +311,11 @@
 	busy := flow.busy && p.Ack < callerCopies
 	d.remove(p.Key, flow)
 	if busy {
-		// The caller's next copy is tried again, since there may be capacity by then.
-		d.drop(p, ReasonBusy)
+		// There may be room soon, and the caller has not given up.
+		d.wait(now, p, ReasonBusy)
 		return
 	}
+	d.stopWaiting(p.Key)
 	d.reset(p, ReasonAllRefused)
 }
 
@@ -479,21 +495,32 @@
 	return d.out
 }
 
-// RequestStatuses requests the statuses of listed companions that are still missing
-// after a start, so that this entry instance needn't wait until they learn of it. The
-// caller calls it with the first view and at every sweep. The result is valid until the
-// next call of a method.
-func (d *Dispatcher) RequestStatuses(now time.Time) []Dispatch {
+// Continue continues what waits: requests for statuses, opening packets and lookups. The
+// caller calls it with the first view and at short intervals. The result is valid until
+// the next call of a method.
+func (d *Dispatcher) Continue(now time.Time) []Dispatch {
 	d.out = d.out[:0]
-	if d.table == nil || now.Sub(d.started) > missingLimit {
-		return d.out
+	d.requestStatuses(now)
+	d.retryWaiting(now)
+	d.retryLookups(now)
+	return d.out
+}
+
+// requestStatuses requests the statuses of listed companions that are still missing
+// after a start, so that this entry instance needn't wait until they learn of it.
+func (d *Dispatcher) requestStatuses(now time.Time) {
+	if d.table == nil || now.Sub(d.started) > missingLimit || now.Sub(d.requestedAt) < requestInterval {
+		return
+	}
+	d.requestedAt = now
+	if d.firstRequestAt.IsZero() {
+		d.firstRequestAt = now
 	}
 	for _, listed := range d.table.View.Companions {
 		if _, known := d.companions[listed.Address]; !known {
 			d.requestStatus(listed.Address)
 		}
 	}
-	return d.out
 }
 
 func (d *Dispatcher) requestStatus(at netip.AddrPort) {
--- a/passthrough/dispatcher_test.go
+++ b/passthrough/dispatcher_test.go
@@ -250,16 +250,55 @@
 }
 
 // After a full restart an entry instance reset every caller that came before the
-// first companion statuses, and the callers exhausted their attempts.
-func TestStartingEntryInstanceDropsOpeningPackets(t *testing.T) {
+// first companion statuses, and the callers exhausted their attempts. Later it dropped
+// their packets, and they lost the time until their next copies.
+func TestStartingEntryInstanceKeepsOpeningPackets(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := passthrough.NewDispatcher(start, "north")
+	waits := func(at time.Time, port int) {
+		actions := d.Handle(at, syn(port))
+		g.Expect(actions).To(gomega.HaveLen(1))
+		g.Expect(actions[0].Kind).To(gomega.Equal(passthrough.DispatchWait))
+		for _, a := range d.Continue(at) {
+			g.Expect(a.Kind).To(gomega.Equal(passthrough.DispatchWait))
+		}
+	}
+	waits(start, 1)
 	d.SetTable(table(1))
-	actions := d.Handle(start.Add(300*time.Millisecond), syn(1))
-	g.Expect(actions).To(gomega.HaveLen(1))
-	g.Expect(actions[0].Kind).To(gomega.Equal(passthrough.DispatchDrop))
-	d.HandleStatus(start.Add(400*time.Millisecond), statusOf(1))
-	g.Expect(targets(d.Handle(start.Add(500*time.Millisecond), syn(1)), passthrough.DispatchForward)).To(gomega.HaveLen(1))
+	waits(start.Add(100*time.Millisecond), 2)
+	later := start.Add(200 * time.Millisecond)
+	d.HandleStatus(later, statusOf(1))
+	g.Expect(targets(d.Continue(later), passthrough.DispatchForward)).To(gomega.HaveLen(2))
+	g.Expect(d.Continue(later.Add(50 * time.Millisecond))).To(gomega.BeEmpty())
+}
+
+// The first callers after a start are spread over all companions, not over those whose
+// statuses come first.
+func TestStartingEntryInstanceWaitsForMostStatuses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	view := *table(1).View
+	for i := range 8 {
+		view.Companions = append(view.Companions, route.Companion{Address: companionAt(1 + i)})
+	}
+	d := passthrough.NewDispatcher(start, "north")
+	d.SetTable(route.Compile(&view))
+	g.Expect(targets(d.Continue(start), passthrough.DispatchStatusRequest)).To(gomega.HaveLen(8))
+	d.HandleStatus(start, statusOf(1))
+	g.Expect(d.Handle(start, syn(1))[0].Kind).To(gomega.Equal(passthrough.DispatchWait))
+	for i := 2; i <= 6; i++ {
+		d.HandleStatus(start, statusOf(i))
+	}
+	g.Expect(targets(d.Continue(start), passthrough.DispatchForward)).To(gomega.HaveLen(1))
+}
+
+// A packet that has waited for too long is dropped: its caller has sent another copy.
+func TestOpeningPacketWaitsForALimitedTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := passthrough.NewDispatcher(start, "north")
+	d.Handle(start, syn(1))
+	d.SetTable(table(1))
+	d.HandleStatus(start.Add(time.Second), statusOf(1))
+	g.Expect(targets(d.Continue(start.Add(time.Second)), passthrough.DispatchForward)).To(gomega.BeEmpty())
 }
 
 func TestUnknownRouteIsReset(t *testing.T) {
@@ -317,9 +356,9 @@
 	g.Expect(d.HandleNote(resumed, companionAt(1), passthrough.Note{Kind: passthrough.NoteNotHeld, Key: flowKey(1)})).To(gomega.BeEmpty())
 }
 
-// A flow refused only because its answer would come too late is tried again with the
-// caller's copies, and reset with the last one.
-func TestBusyFlowIsTriedAgainWithTheNextCopy(t *testing.T) {
+// A flow refused only because its answer would come too late is tried again, also with
+// the caller's copies, and reset with the last one.
+func TestBusyFlowIsTriedAgain(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := dispatcher(1)
 	for number := range uint32(3) {
@@ -329,7 +368,7 @@
 		g.Expect(targets(d.Handle(at, p), passthrough.DispatchForward)).To(gomega.HaveLen(1))
 		actions := d.HandleRefused(at, companionAt(1), passthrough.ReasonBusy, p)
 		g.Expect(actions).To(gomega.HaveLen(1))
-		wanted := passthrough.DispatchDrop
+		wanted := passthrough.DispatchWait
 		if number == 2 {
 			wanted = passthrough.DispatchReset
 		}
@@ -337,6 +376,22 @@
 	}
 }
 
+// A busy flow doesn't wait for its caller's next copy, and no longer than that takes.
+func TestBusyFlowWaitsForRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(1)
+	d.Handle(start, syn(1))
+	d.HandleRefused(start, companionAt(1), passthrough.ReasonBusy, syn(1))
+	tries := 0
+	for at := start; at.Before(start.Add(3 * time.Second)); at = at.Add(50 * time.Millisecond) {
+		for range targets(d.Continue(at), passthrough.DispatchForward) {
+			tries++
+			d.HandleRefused(at, companionAt(1), passthrough.ReasonBusy, syn(1))
+		}
+	}
+	g.Expect(tries).To(gomega.And(gomega.BeNumerically(">=", 2), gomega.BeNumerically("<=", 5)))
+}
+
 // After a failure of several entry instances and companions, an entry instance had
 // the status of one companion only, which didn't hold the flow, and reset flows that
 // others held.
@@ -434,3 +489,41 @@
 	actions := d.HandleNote(start, companionAt(1), passthrough.Note{Kind: passthrough.NoteHeld, Key: flowKey(1000)})
 	g.Expect(targets(actions, passthrough.DispatchForward)).To(gomega.Equal([]netip.AddrPort{companionAt(1)}))
 }
+
+// Of four candidates among all data centres none was local for every other flow of a
+// large deployment, so that its packets crossed the network between data centres although
+// local backend servers were idle.
+func TestFlowsStayInTheirDataCentreWhileItHasRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const dataCentres, flows = 6, 600
+	d := fleet(108, dataCentres)
+	for port := range flows {
+		to := targets(d.Handle(start, syn(port)), passthrough.DispatchForward)
+		g.Expect(to).To(gomega.HaveLen(1))
+		g.Expect(to[0].Addr().As4()[3] % dataCentres).To(gomega.BeZero())
+		// Its request is answered before the next flow opens.
+		d.HandleNote(start, to[0], passthrough.Note{Kind: passthrough.NoteHeld, Key: flowKey(port), Flows: 0})
+		d.HandleLoad(start, to[0], idleLoad(to[0]))
+	}
+}
+
+// idleLoad is the load of a companion of fleet without flows.
+func idleLoad(at netip.AddrPort) passthrough.Load {
+	status := fleetStatus(int(at.Addr().As4()[2])<<8|int(at.Addr().As4()[3]), 6)
+	return status.Load()
+}
+
+// Once the local backend servers are loaded, others are chosen.
+func TestFlowsLeaveALoadedDataCentre(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := fleet(108, 6)
+	for i := 0; i < 108; i += 6 {
+		status := fleetStatus(i, 6)
+		status.Running = status.Slots
+		d.HandleStatus(start, status)
+	}
+	for port := range 30 {
+		to := targets(d.Handle(start, syn(port)), passthrough.DispatchForward)
+		g.Expect(to[0].Addr().As4()[3] % 6).NotTo(gomega.BeZero())
+	}
+}
--- a/passthrough/model_test.go
+++ b/passthrough/model_test.go
@@ -174,7 +174,7 @@
 		}
 		for i, e := range m.entries {
 			e.Sweep(m.now)
-			m.dispatch(i, e.RetryLookups(m.now), 0)
+			m.dispatch(i, e.Continue(m.now), 0)
 		}
 	}
 }
--- a/passthrough/search.go
+++ b/passthrough/search.go
@@ -11,9 +11,10 @@
 
 const (
 	// narrowLookup is how many companions, first in the flow's order, are queried
-	// first: those that shared the choice at its opening, and two that may have been
-	// skipped then.
+	// first, and narrowLocal how many of this data centre: those that shared the choice
+	// at its opening, and two that may have been skipped then.
 	narrowLookup = choiceCount + 2
+	narrowLocal  = localCount + 2
 	// queryTimeout is how long answers to queries take at most, unless they are lost, and
 	// surveyLimit the same for results of surveys.
 	queryTimeout = 60 * time.Millisecond
@@ -101,12 +102,10 @@
 	l.wide, l.notHeldBy = false, make(map[netip.AddrPort]bool)
 }
 
-// RetryLookups repeats the queries without an answer, without waiting for the caller to
+// retryLookups repeats the queries without an answer, without waiting for the caller to
 // repeat its packet, and no longer waits for the first companions before it asks the
-// others. The caller calls it at short intervals. The result is valid until the next
-// call of a method.
-func (d *Dispatcher) RetryLookups(now time.Time) []Dispatch {
-	d.out = d.out[:0]
+// others.
+func (d *Dispatcher) retryLookups(now time.Time) {
 	d.refillQueries(now)
 	for l, key := range d.active {
 		if l.packet == nil || now.Sub(l.heldAt) > holdLimit || now.Before(l.retryAt) {
@@ -118,7 +117,6 @@
 		l.wide = l.wide || d.discovered(now)
 		d.sendQueries(now, key, l)
 	}
-	return d.out
 }
 
 // refillQueries adds to the messages that lookups may send.
@@ -174,7 +172,7 @@
 		rank(d.ranked, key)
 		return d.ranked
 	}
-	return rankFirst(d.ranked, key, narrowLookup)
+	return d.first(d.ranked, key, narrowLookup, narrowLocal)
 }
 
 // routeOf returns the route of a flow, nil if there is none.
@@ -222,7 +220,7 @@
 }
 
 // takeQueries reports whether a message of a lookup that is as long as so many queries
-// may be sent, and counts it. The lookup is continued by RetryLookups if not.
+// may be sent, and counts it. The lookup is continued by retryLookups if not.
 func (d *Dispatcher) takeQueries(key core.FlowKey, count float64) bool {
 	if d.queries < count {
 		d.drop(&Packet{Key: key}, ReasonLookupLimit)
--- a/passthrough/survey_test.go
+++ b/passthrough/survey_test.go
@@ -17,15 +17,20 @@
 	d := passthrough.NewDispatcher(start.Add(-time.Hour), "dc0")
 	d.SetTable(table(1))
 	for i := range companions {
-		status := statusOf(1)
-		status.Companion = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)}), 8000)
-		status.DataCentre = core.DataCentre(fmt.Sprintf("dc%d", i%dataCentres))
-		status.ReportInterval = time.Minute
-		d.HandleStatus(start, status)
+		d.HandleStatus(start, fleetStatus(i, dataCentres))
 	}
 	return d
 }
 
+// fleetStatus returns the status of a companion of a fleet.
+func fleetStatus(i, dataCentres int) passthrough.Status {
+	status := statusOf(1)
+	status.Companion = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)}), 8000)
+	status.DataCentre = core.DataCentre(fmt.Sprintf("dc%d", i%dataCentres))
+	status.ReportInterval = time.Minute
+	return status
+}
+
 // Sizes of messages with the headers of UDP and IPv4, in bytes.
 const (
 	queryBytes        = 24 + 28
@@ -90,7 +95,7 @@
 	partial := passthrough.SurveyResult{Number: survey.Number, Key: survey.Key, NotHeld: answered}
 	g.Expect(d.HandleSurveyResult(start, partial)).To(gomega.BeEmpty())
 	later := start.Add(200 * time.Millisecond)
-	g.Expect(targets(d.RetryLookups(later), passthrough.DispatchQuery)).To(gomega.ConsistOf(missing))
+	g.Expect(targets(d.Continue(later), passthrough.DispatchQuery)).To(gomega.ConsistOf(missing))
 	actions := d.HandleNote(later, missing, passthrough.Note{Kind: passthrough.NoteNotHeld, Key: flowKey(1)})
 	g.Expect(actions).To(gomega.HaveLen(1))
 	g.Expect(actions[0].Kind).To(gomega.Equal(passthrough.DispatchReset))
@@ -181,7 +186,7 @@
 			for port := range flows / 20 {
 				sent += lookupBytes(d.Handle(now, data(port+int(now.Sub(start).Milliseconds()), 5001)))
 			}
-			sent += lookupBytes(d.RetryLookups(now))
+			sent += lookupBytes(d.Continue(now))
 		}
 		g.Expect(sent).To(gomega.BeNumerically("<=", limit))
 		g.Expect(sent).To(gomega.BeNumerically(">", 0))
--- /dev/null
+++ b/passthrough/waiting.go
@@ -0,0 +1,112 @@
+package passthrough
+
+import (
+	"slices"
+	"time"
+
+	"zinniapulley.dev/core"
+)
+
+const (
+	// maxWaiting is the most opening packets that wait.
+	maxWaiting = 512
+	// waitLimit is how long an opening packet waits: until its caller has sent the next
+	// copy.
+	waitLimit = 500 * time.Millisecond
+	// busyRetry is the time after which a flow that was refused by busy backend servers
+	// is tried again: a few service times.
+	busyRetry = 100 * time.Millisecond
+	// settleTime is how long an entry instance waits for the statuses that it has
+	// requested at its start, unless settledShare of them have come.
+	settleTime   = 60 * time.Millisecond
+	settledShare = 0.75
+)
+
+// waitingPacket is the newest copy of an opening packet that waits.
+type waitingPacket struct {
+	packet  Packet
+	since   time.Time
+	retryAt time.Time
+	reason  Reason
+	// tried is set once it was sent to a companion again. It waits on if that refuses it.
+	tried bool
+}
+
+// wait keeps an opening packet that can't be decided about yet, or that no backend
+// server had room for. After an outage all callers return at once; one whose packet is
+// dropped would lose the time until its next copy, and after the last one much more.
+func (d *Dispatcher) wait(now time.Time, p *Packet, reason Reason) {
+	previous, known := d.waiting[p.Key]
+	if !known && len(d.waiting) >= maxWaiting {
+		d.drop(p, reason)
+		return
+	}
+	kept := *p
+	kept.Data = slices.Clone(p.Data)
+	w := waitingPacket{packet: kept, since: now, retryAt: now, reason: reason}
+	if reason == ReasonBusy {
+		w.retryAt = now.Add(busyRetry)
+	}
+	sameCopy := known && previous.packet.Ack == p.Ack
+	if sameCopy {
+		w.since = previous.since
+	}
+	d.waiting[p.Key] = w
+	if !sameCopy || previous.reason != reason {
+		d.out = append(d.out, Dispatch{Kind: DispatchWait, Reason: reason, Packet: p})
+	}
+}
+
+// retryWaiting decides about the opening packets that wait, if it can be done by now.
+func (d *Dispatcher) retryWaiting(now time.Time) {
+	if !d.settled(now) {
+		return
+	}
+	for key, w := range d.waiting {
+		switch {
+		case now.Sub(w.since) > waitLimit:
+			d.stopWaiting(key)
+			if !w.tried {
+				d.drop(&w.packet, w.reason)
+			}
+		case !w.tried && !now.Before(w.retryAt):
+			d.openingPacket(now, &w.packet)
+		}
+	}
+}
+
+// triedAgain records that the flow's waiting packet, if there is one, was sent to a
+// companion.
+func (d *Dispatcher) triedAgain(key core.FlowKey) {
+	w, waits := d.waiting[key]
+	if waits {
+		w.tried = true
+		d.waiting[key] = w
+	}
+}
+
+func (d *Dispatcher) stopWaiting(key core.FlowKey) { delete(d.waiting, key) }
+
+// unsettledReason returns why opening packets wait.
+func (d *Dispatcher) unsettledReason() Reason {
+	if d.table == nil {
+		return ReasonNoView
+	}
+	return ReasonStarting
+}
+
+// settled reports whether this entry instance has a view, and after its start the
+// statuses of enough companions that the first callers don't all go to a few of them.
+func (d *Dispatcher) settled(now time.Time) bool {
+	switch {
+	case d.table == nil:
+		return false
+	case now.Sub(d.started) > missingLimit:
+		return true
+	case d.firstRequestAt.IsZero():
+		return false
+	default:
+		enough := settledShare * float64(len(d.table.View.Companions))
+		return now.Sub(d.firstRequestAt) >= settleTime || float64(len(d.companions)) >= enough
+	}
+}
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -47,7 +47,7 @@
 func (path *packetPath) Handle(now time.Time, d traffic.Datagram) {
 	table := path.entry.table.Load()
 	if table != nil && path.dispatcher.SetTable(table) {
-		path.execute(now, path.dispatcher.RequestStatuses(now))
+		path.execute(now, path.dispatcher.Continue(now))
 	}
 	if d.Socket == socketCallers {
 		path.fromCaller(now, d.Data)
@@ -59,8 +59,7 @@
 // Tick removes expired flows and companions and updates the gauges.
 func (path *packetPath) Tick(now time.Time) {
 	path.dispatcher.Sweep(now)
-	path.execute(now, path.dispatcher.RequestStatuses(now))
-	path.execute(now, path.dispatcher.RetryLookups(now))
+	path.execute(now, path.dispatcher.Continue(now))
 	path.entry.companionCount.Store(int64(path.dispatcher.Companions()))
 	metrics.GetOrRegisterGauge("flows.cached", path.entry.config.Metrics).Update(int64(path.dispatcher.Flows()))
 }
@@ -150,7 +149,7 @@
 			path.meter.Send(path.entry.peers, hop.EncodeStatusRequest(), a.To)
 		case passthrough.DispatchReset:
 			path.reset(a)
-		case passthrough.DispatchDrop:
+		case passthrough.DispatchDrop, passthrough.DispatchWait:
 		}
 		path.logAction(now, a)
 	}
@@ -187,10 +186,10 @@
 				"running", a.Status.Running, "flows", a.Status.Flows, "slots", a.Status.Slots, "statusAge", a.Age,
 				"version", path.dispatcher.Version(), "reason", a.Reason, "linesLeftOut", leftOut)
 		}
-	case a.Kind == passthrough.DispatchReset || a.Kind == passthrough.DispatchDrop:
+	case a.Kind == passthrough.DispatchReset || a.Kind == passthrough.DispatchDrop || a.Kind == passthrough.DispatchWait:
 		leftOut, ok := path.failedLimit.Allow(now)
 		if ok {
-			path.log.Warn("packet not forwarded", "flow", a.Packet.Key, "flags", a.Packet.Flags, "reset", a.Kind == passthrough.DispatchReset,
+			path.log.Warn("packet not forwarded", "flow", a.Packet.Key, "flags", a.Packet.Flags, "reset", a.Kind == passthrough.DispatchReset, "waits", a.Kind == passthrough.DispatchWait,
 				"version", path.dispatcher.Version(), "companions", path.dispatcher.Companions(), "reason", a.Reason, "linesLeftOut", leftOut)
 		}
 	}
