--- a/relay/tcpstack/link.go
+++ b/relay/tcpstack/link.go
@@ -35,6 +35,9 @@
 	// caller to close too. The library also waits that long, in FIN-WAIT-2, if
 	// it had to retransmit its FIN after it had received the caller's.
 	finWait = 5 * time.Second
+	// lossRecovery disables the library's tail loss probes (RFC 8985): once a probe that
+	// repeats a FIN is lost, the library doesn't retransmit the FIN any more.
+	lossRecovery tcpip.TCPRecovery = 0
 	// maxRetries is how often a packet is retransmitted before the flow ends.
 	maxRetries = 10
 	// DefaultMTU is the default MTU in bytes. With the longest encapsulation, an
@@ -96,6 +99,7 @@
 		ptr(tcpip.TCPTimeWaitTimeoutOption(timeWait)),
 		ptr(tcpip.TCPLingerTimeoutOption(finWait)),
 		ptr(tcpip.TCPMaxRetriesOption(maxRetries)),
+		ptr(lossRecovery),
 		&tcpip.TCPSendBufferSizeRangeOption{Min: bufferMin, Default: bufferDefault, Max: bufferMax},
 		&tcpip.TCPReceiveBufferSizeRangeOption{Min: bufferMin, Default: bufferDefault, Max: bufferMax},
 	}
