--- a/roles/entry/entry.go
+++ b/roles/entry/entry.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -29,8 +30,12 @@
 	// tickInterval is the time between sweeps of the packet path's state, and how late a
 	// lost query is repeated at most.
 	tickInterval = 50 * time.Millisecond
-	// heartbeatInterval is the time between heartbeats to the control instances.
-	heartbeatInterval = 200 * time.Millisecond
+	// heartbeatInterval is the time between heartbeats to the control instances, and
+	// firstHeartbeatInterval the same for firstHeartbeats after a start or once the
+	// control instances have changed.
+	heartbeatInterval      = time.Second
+	firstHeartbeatInterval = 200 * time.Millisecond
+	firstHeartbeats        = 3 * time.Second
 	// shutdownDelay is how long a shutdown waits until routers send callers' packets to
 	// other entry instances: two failed health checks, each half a second, and one more.
 	shutdownDelay = 1700 * time.Millisecond
@@ -99,7 +104,7 @@
 			})
 		},
 		Control: func(ctx context.Context) {
-			e.loop.Run(ctx, &control{entry: e, controls: e.config.Seeds()})
+			e.loop.Run(ctx, &control{entry: e, controls: e.config.Seeds(), changedAt: time.Now()})
 		},
 		Packets: func(ctx context.Context) { traffic.Run(ctx, newPacketPath(e), tickInterval, e.callers, e.peers) },
 		OnShutdown: func() {
@@ -125,6 +130,8 @@
 	entry        *Entry
 	controls     []netip.AddrPort
 	heartbeatDue time.Time
+	// changedAt is when this instance started or its control instances last changed.
+	changedAt time.Time
 }
 
 // Handle processes one event.
@@ -135,13 +142,21 @@
 
 // Wake sends a heartbeat to the control instances.
 func (c *control) Wake(now time.Time) {
-	c.heartbeatDue = now.Add(heartbeatInterval)
+	c.heartbeatDue = now.Add(nextHeartbeat(now.Sub(c.changedAt)))
 	traffic.SendHeartbeat(c.entry.peers, c.controls, hop.Heartbeat{Packets: c.entry.config.Peers}, c.entry.config.Log)
 }
 
+// nextHeartbeat returns the time to the next heartbeat, so long after the last change.
+func nextHeartbeat(sinceChange time.Duration) time.Duration {
+	if sinceChange < firstHeartbeats {
+		return firstHeartbeatInterval
+	}
+	return heartbeatInterval
+}
+
 func (u updated) handle(c *control, now time.Time) {
-	if len(u.Controls) > 0 {
-		c.controls = u.Controls
+	if len(u.Controls) > 0 && !slices.Equal(u.Controls, c.controls) {
+		c.controls, c.changedAt = u.Controls, now
 		c.entry.config.Log.Info("control instances updated", "controls", u.Controls)
 	}
 	current := c.entry.table.Load()
