--- a/roles/control/control_test.go
+++ b/roles/control/control_test.go
@@ -261,3 +261,29 @@
 	g.Expect(view).NotTo(gomega.BeNil())
 	g.Expect(view.Version).To(gomega.BeNumerically(">=", 4))
 }
+
+// A control instance that had lost its disk answered every call of an instance without a
+// view at once with nothing. After an outage hundreds of instances called it again and
+// again, and it took half a second to join the others.
+func TestSyncWithoutViewWaitsForTheFirstState(t *testing.T) {
+	g := gomega.NewWithT(t)
+	absent := freeAddress(t)
+	alone := &group{t: t, seeds: []netip.AddrPort{absent}}
+	empty := freeAddress(t)
+	alone.start(empty, t.TempDir(), false, durable.Disk{})
+	alone.seeds = []netip.AddrPort{empty}
+	eventually(t, func() error {
+		_, err := alone.sync(0, 0)
+		return err
+	})
+	called := make(chan wire.SyncReply, 1)
+	go func() {
+		reply, _ := alone.sync(0, 0)
+		called <- reply
+	}()
+	g.Consistently(called, 200*time.Millisecond).ShouldNot(gomega.Receive())
+	var reply wire.SyncReply
+	g.Eventually(called, 20*time.Second).Should(gomega.Receive(&reply))
+	g.Expect(reply.Behind).To(gomega.BeTrue())
+	g.Expect(reply.View).To(gomega.BeEmpty())
+}
--- a/roles/control/sync.go
+++ b/roles/control/sync.go
@@ -43,7 +43,7 @@
 	if offered != h.lastOffer {
 		h.lastOffer = offered
 		h.waiters = slices.DeleteFunc(h.waiters, func(w waiter) bool {
-			if offered.coveredBy(w.request) {
+			if offered.coveredBy(w.request) || h.hasNothingFor(w.request) {
 				return false
 			}
 			w.reply.Answer(h.syncReply(w.request))
@@ -68,6 +68,14 @@
 	return o.current && request.Revision >= o.revision && request.Peers == o.digest
 }
 
+// hasNothingFor reports whether an instance without a view has to wait: for the view
+// that was in force before the start while the data folder is being read, and for the
+// first one if the folder was empty. After an outage all instances call at once, and
+// would call again.
+func (h *handler) hasNothingFor(request wire.SyncRequest) bool {
+	return request.Revision == 0 && (h.replica == nil || (h.state.Revision == 0 && !h.current()))
+}
+
 // current reports whether the applied state is the one in force, as far as this
 // instance can tell without a quorum. An instance with a stalled disk receives the
 // commit index but can't apply the commands.
@@ -131,10 +139,7 @@
 
 func (e syncQuery) handle(h *handler, now time.Time) {
 	offered := h.offer()
-	// While the data folder is being read, an instance without a view waits for the view
-	// that was in force before the start.
-	reading := h.replica == nil && e.request.Revision == 0
-	if !reading && !offered.coveredBy(e.request) {
+	if !h.hasNothingFor(e.request) && !offered.coveredBy(e.request) {
 		e.reply.Answer(h.syncReply(e.request))
 		return
 	}
--- a/roles/feed/start.go
+++ b/roles/feed/start.go
@@ -16,16 +16,26 @@
 	reply  wire.SyncReply
 }
 
-// start polls all seeds until one returns a view, or one that isn't behind reports
-// that there is none yet.
+// seedDelay is the time between the first polls of two seeds. After an outage all
+// instances start at once, and each needs the view of one seed only.
+const seedDelay = 60 * time.Millisecond
+
+// start polls all seeds, one after the other in random order, until one returns a view,
+// or one that isn't behind reports that there is none yet.
 func (f *feed) start(ctx context.Context) {
 	f.unreachable = true
 	polling, stop := context.WithCancel(ctx)
 	defer stop()
 	answers := make(chan firstAnswer)
 	var pollers sync.WaitGroup
-	for i, seed := range f.controls {
-		pollers.Go(func() { f.pollSeed(polling, i, seed, answers) })
+	for position, i := range f.config.Random.Perm(len(f.controls)) {
+		pollers.Go(func() {
+			select {
+			case <-polling.Done():
+			case <-time.After(time.Duration(position) * seedDelay):
+				f.pollSeed(polling, i, f.controls[i], answers)
+			}
+		})
 	}
 	go func() {
 		pollers.Wait()
--- a/roles/feed/start_test.go
+++ b/roles/feed/start_test.go
@@ -167,3 +167,25 @@
 		}
 	}()
 }
+
+// After an outage all instances polled all seeds at once, each of which answered all of
+// them, and the first views took three times as long.
+func TestOneAnsweringSeedIsEnoughAtStart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	view, err := wire.EncodeView(&route.View{Revision: 5})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var polls atomic.Int64
+	answer := func(request wire.SyncRequest, reply *wire.SyncReply) error {
+		if request.Revision == 0 {
+			polls.Add(1)
+			reply.View = view
+		}
+		return nil
+	}
+	updates := make(chan feed.Update, 100)
+	go feed.Run(ctx, feedConfig(updates, startSeed(t, ctx, answer), startSeed(t, ctx, answer), startSeed(t, ctx, answer)))
+	g.Eventually(updates, 20*time.Second).Should(gomega.Receive())
+	g.Consistently(polls.Load, 300*time.Millisecond).Should(gomega.BeEquivalentTo(1))
+}
