--- a/passthrough/dispatcher_test.go
+++ b/passthrough/dispatcher_test.go
@@ -527,3 +527,27 @@
 		g.Expect(to[0].Addr().As4()[3] % 6).NotTo(gomega.BeZero())
 	}
 }
+
+// A companion that this entry instance can't reach, while its reports still arrive, took
+// every new flow's first try. Others see it well, so that only the own path tells.
+func TestUnreachableCompanionIsChosenLast(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(2)
+	cut := targets(d.Handle(start, syn(1)), passthrough.DispatchForward)[0]
+	chosen := func(at time.Time, port int) netip.AddrPort {
+		status := statusOf(int(cut.Addr().As4()[3]))
+		d.HandleLoad(at, cut, status.Load())
+		to := targets(d.Handle(at, syn(port)), passthrough.DispatchForward)[0]
+		if to != cut {
+			d.HandleNote(at, to, passthrough.Note{Kind: passthrough.NoteAdmitted, Key: flowKey(port), Running: 50})
+		}
+		return to
+	}
+	after := start.Add(150 * time.Millisecond)
+	for port := 2; port < 20; port++ {
+		g.Expect(chosen(after, port)).NotTo(gomega.Equal(cut))
+	}
+	g.Expect(chosen(start.Add(1500*time.Millisecond), 20)).To(gomega.Equal(cut), "it is tried again")
+	d.HandleNote(start.Add(1500*time.Millisecond), cut, passthrough.Note{Kind: passthrough.NoteAdmitted, Key: flowKey(20)})
+	g.Expect(chosen(start.Add(1700*time.Millisecond), 21)).To(gomega.Equal(cut), "it has responded")
+}
--- a/passthrough/search.go
+++ b/passthrough/search.go
@@ -38,13 +38,12 @@
 	// record of a backend server counts as departed: six intervals between its
 	// statuses.
 	departedAfter = 2 * time.Second
-	// queriesPerSecond bounds the messages of lookups. With their answers they use a third
-	// of a network of 2 Mbit/s; callers' packets need the rest.
-	queriesPerSecond = 1100
-	// maxQueryBurst is the most messages at once.
-	maxQueryBurst = 300
+	// queriesPerSecond and maxQueryBurst bound the messages of lookups. In any second they
+	// use a third of a network of 2 Mbit/s; callers' packets need the rest.
+	queriesPerSecond = 1000
+	maxQueryBurst    = 600
 	// addressesPerQuery is how many companions of a survey are as long as a query.
-	addressesPerQuery = 8
+	addressesPerQuery = 13
 	// maxHeldPackets is the most packets held while their flows are looked up.
 	maxHeldPackets = 256
 )
@@ -60,6 +59,8 @@
 	wide bool
 	// notHeldBy holds the companions that don't hold the flow.
 	notHeldBy map[netip.AddrPort]bool
+	// surveys holds the companions asked by the last survey of each conductor.
+	surveys map[netip.AddrPort][]netip.AddrPort
 	// packet is the newest packet, held since heldAt until the owner is found; nil for
 	// none.
 	packet *Packet
@@ -100,6 +101,7 @@
 	d.lookups++
 	l.number, l.began, l.retryAt = d.lookups, now, now
 	l.wide, l.notHeldBy = false, make(map[netip.AddrPort]bool)
+	l.surveys = make(map[netip.AddrPort][]netip.AddrPort)
 }
 
 // retryLookups repeats the queries without an answer, without waiting for the caller to
--- a/passthrough/survey.go
+++ b/passthrough/survey.go
@@ -42,8 +42,9 @@
 // SurveyResult lists the companions of a survey that don't hold the flow.
 type SurveyResult struct {
 	// Number is that of the Survey.
-	Number  uint32
-	Key     core.FlowKey
+	Number uint32
+	Key    core.FlowKey
+	// NotHeld is empty if none of the companions asked holds the flow.
 	NotHeld []netip.AddrPort
 }
 
@@ -101,6 +102,7 @@
 		return FinishedSurvey{}, false
 	}
 	delete(s.pending, number)
+	pending.result.NotHeld = nil
 	return FinishedSurvey{Entry: pending.entry, Result: pending.result}, true
 }
 
@@ -132,21 +134,27 @@
 	return actions
 }
 
+// surveyGroup is what the companions of a survey have in common.
+type surveyGroup struct {
+	dataCentre core.DataCentre
+	port       uint16
+}
+
 // sendSurveys has one companion of each data centre query the others there, and queries
 // directly where too few are asked. companions are in the flow's order, so that each
 // flow's surveys are conducted by others.
 func (d *Dispatcher) sendSurveys(now time.Time, key core.FlowKey, l *flowLookup, companions []*companion) {
-	var dataCentres []core.DataCentre
-	groups := make(map[core.DataCentre][]*companion)
+	var order []surveyGroup
+	groups := make(map[surveyGroup][]*companion)
 	for _, c := range companions {
-		at := c.status.DataCentre
-		if groups[at] == nil {
-			dataCentres = append(dataCentres, at)
+		group := surveyGroup{c.status.DataCentre, c.status.Companion.Port()}
+		if groups[group] == nil {
+			order = append(order, group)
 		}
-		groups[at] = append(groups[at], c)
+		groups[group] = append(groups[group], c)
 	}
-	for _, at := range dataCentres {
-		for part := range slices.Chunk(groups[at], maxSurveyed) {
+	for _, group := range order {
+		for part := range slices.Chunk(groups[group], maxSurveyed) {
 			conductor := slices.IndexFunc(part, func(c *companion) bool { return c.fresh(now) && !c.unreachable(now) })
 			if len(part) < minSurveyed || conductor < 0 {
 				d.queryEach(key, part)
@@ -159,8 +167,10 @@
 			for _, c := range part {
 				ask = append(ask, c.status.Companion)
 			}
+			to := part[conductor].status.Companion
+			l.surveys[to] = ask
 			d.out = append(d.out, Dispatch{
-				Kind: DispatchSurvey, Reason: ReasonUnknownFlow, To: part[conductor].status.Companion,
+				Kind: DispatchSurvey, Reason: ReasonUnknownFlow, To: to,
 				Survey: Survey{Number: l.number, Key: key, Ask: ask},
 			})
 		}
@@ -170,13 +180,17 @@
 // HandleSurveyResult handles the result of a survey. One that was delayed until another
 // lookup of the flow has begun is ignored: the flow may have opened since. The result is
 // valid until the next call of a method.
-func (d *Dispatcher) HandleSurveyResult(now time.Time, result SurveyResult) []Dispatch {
+func (d *Dispatcher) HandleSurveyResult(now time.Time, from netip.AddrPort, result SurveyResult) []Dispatch {
 	d.out = d.out[:0]
 	flow, known := d.flows[result.Key]
 	if !known || flow.owner.IsValid() || flow.lookup == nil || flow.lookup.number != result.Number || flow.lookup.expired(now) {
 		return d.out
 	}
-	for _, at := range result.NotHeld {
+	notHeld := result.NotHeld
+	if len(notHeld) == 0 {
+		notHeld = flow.lookup.surveys[from]
+	}
+	for _, at := range notHeld {
 		flow.lookup.notHeldBy[at] = true
 	}
 	d.concludeLookup(now, result.Key, flow)
--- a/roles/companion/owner.go
+++ b/roles/companion/owner.go
@@ -155,7 +155,7 @@
 	}
 	path.gate.Sweep(now)
 	for _, finished := range path.surveys.Expire(now) {
-		path.sendToEntry(hop.EncodeSurveyResult(finished.Result), finished.Entry)
+		path.sendResult(finished)
 	}
 	if path.gate.ResponseOverdue(now) {
 		path.requestProbe()
--- a/roles/companion/survey.go
+++ b/roles/companion/survey.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"zinniapulley.dev/passthrough"
 	"zinniapulley.dev/roles/traffic"
 	"zinniapulley.dev/wire/hop"
 )
@@ -38,9 +39,18 @@
 		}
 		finished, done := path.surveys.NotHeld(d.From, number)
 		if done {
-			path.sendToEntry(hop.EncodeSurveyResult(finished.Result), finished.Entry)
+			path.sendResult(finished)
 		}
 	default:
 	}
 	return nil
 }
+
+func (path *packetPath) sendResult(finished passthrough.FinishedSurvey) {
+	datagram, err := hop.EncodeSurveyResult(finished.Result)
+	if err != nil {
+		path.log.Error("result of a survey not encoded", "flow", finished.Result.Key, "error", err)
+		return
+	}
+	path.sendToEntry(datagram, finished.Entry)
+}
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -95,7 +95,7 @@
 		var result passthrough.SurveyResult
 		result, err = hop.DecodeSurveyResult(d.Data)
 		if err == nil {
-			path.execute(now, path.dispatcher.HandleSurveyResult(now, result))
+			path.execute(now, path.dispatcher.HandleSurveyResult(now, d.From, result))
 		}
 	case hop.KindStatus:
 		var status passthrough.Status
@@ -144,7 +144,7 @@
 		case passthrough.DispatchQuery:
 			path.sendQuery(a)
 		case passthrough.DispatchSurvey:
-			path.meter.Send(path.entry.peers, hop.EncodeSurvey(a.Survey), a.To)
+			path.sendSurvey(a)
 		case passthrough.DispatchStatusRequest:
 			path.meter.Send(path.entry.peers, hop.EncodeStatusRequest(), a.To)
 		case passthrough.DispatchReset:
@@ -170,6 +170,15 @@
 	path.meter.Send(path.entry.peers, datagram, a.To)
 }
 
+func (path *packetPath) sendSurvey(a *passthrough.Dispatch) {
+	datagram, err := hop.EncodeSurvey(a.Survey)
+	if err != nil {
+		path.log.Error("survey not encoded", "flow", a.Survey.Key, "error", err)
+		return
+	}
+	path.meter.Send(path.entry.peers, datagram, a.To)
+}
+
 func (path *packetPath) reset(a *passthrough.Dispatch) {
 	codec := path.entry.config.Codec
 	path.meter.Send(path.entry.callers, codec.Reset(a.Packet.Key, a.ResetSeq), codec.Caller(a.Packet.Key))
--- a/wire/hop/survey.go
+++ b/wire/hop/survey.go
@@ -10,8 +10,11 @@
 )
 
 const (
+	// ipLen and portLen are the lengths in bytes of an IPv4 address and of a port.
+	ipLen   = 4
+	portLen = 2
 	// addressLen is the length in bytes of an IPv4 address with its port.
-	addressLen = 4 + 2
+	addressLen = ipLen + portLen
 	// numberLen is the length in bytes of a survey's number, keyLen that of a flow key.
 	numberLen = 4
 	keyLen    = 2 * addressLen
@@ -19,9 +22,10 @@
 	surveyHeaderLen = 1 + numberLen + keyLen
 )
 
-// EncodeSurvey returns the datagram of a survey.
-func EncodeSurvey(s passthrough.Survey) []byte {
-	return appendAddresses(appendHeader(KindSurvey, s.Number, s.Key), s.Ask...)
+// EncodeSurvey returns the datagram of a survey, or an error if the companions don't all
+// have the same port.
+func EncodeSurvey(s passthrough.Survey) ([]byte, error) {
+	return encodeSurvey(KindSurvey, s.Number, s.Key, s.Ask)
 }
 
 // DecodeSurvey returns the survey of a datagram.
@@ -32,19 +36,16 @@
 
 // EncodeSurveyQuery returns the datagram of a survey's query.
 func EncodeSurveyQuery(q passthrough.SurveyQuery) []byte {
-	return appendAddresses(appendHeader(KindSurveyQuery, q.Number, q.Key), q.Entry)
+	return appendAddress(appendHeader(KindSurveyQuery, q.Number, q.Key), q.Entry)
 }
 
 // DecodeSurveyQuery returns the query of a datagram.
 func DecodeSurveyQuery(datagram []byte) (passthrough.SurveyQuery, error) {
-	number, key, entry, err := decodeSurvey(datagram)
-	if err == nil && len(entry) != 1 {
-		err = errors.Errorf("query of a survey names %d entry instances instead of one", len(entry))
+	if len(datagram) != surveyHeaderLen+addressLen {
+		return passthrough.SurveyQuery{}, errors.Errorf("query of a survey of %d bytes instead of %d", len(datagram), surveyHeaderLen+addressLen)
 	}
-	if err != nil {
-		return passthrough.SurveyQuery{}, err
-	}
-	return passthrough.SurveyQuery{Number: number, Key: key, Entry: entry[0]}, nil
+	number, key := decodeHeader(datagram)
+	return passthrough.SurveyQuery{Number: number, Key: key, Entry: decodeAddress(datagram[surveyHeaderLen:])}, nil
 }
 
 // EncodeSurveyAnswer returns the datagram of an answer to the query of a survey.
@@ -60,9 +61,10 @@
 	return binary.BigEndian.Uint32(datagram[1:]), nil
 }
 
-// EncodeSurveyResult returns the datagram of a survey's result.
-func EncodeSurveyResult(r passthrough.SurveyResult) []byte {
-	return appendAddresses(appendHeader(KindSurveyResult, r.Number, r.Key), r.NotHeld...)
+// EncodeSurveyResult returns the datagram of a survey's result, or an error if the
+// companions don't all have the same port.
+func EncodeSurveyResult(r passthrough.SurveyResult) ([]byte, error) {
+	return encodeSurvey(KindSurveyResult, r.Number, r.Key, r.NotHeld)
 }
 
 // DecodeSurveyResult returns the result of a datagram.
@@ -71,33 +73,58 @@
 	return passthrough.SurveyResult{Number: number, Key: key, NotHeld: notHeld}, err
 }
 
-func appendHeader(kind Kind, number uint32, key core.FlowKey) []byte {
-	return appendAddresses(binary.BigEndian.AppendUint32([]byte{byte(kind)}, number), key.Caller, key.Service)
-}
-
-func appendAddresses(buffer []byte, addresses ...netip.AddrPort) []byte {
-	for _, address := range addresses {
-		ip := address.Addr().As4()
-		buffer = binary.BigEndian.AppendUint16(append(buffer, ip[:]...), address.Port())
+// encodeSurvey encodes a header, and companions as their common port and their addresses.
+func encodeSurvey(kind Kind, number uint32, key core.FlowKey, companions []netip.AddrPort) ([]byte, error) {
+	datagram := appendHeader(kind, number, key)
+	for i, companion := range companions {
+		if i == 0 {
+			datagram = binary.BigEndian.AppendUint16(datagram, companion.Port())
+		}
+		if companion.Port() != companions[0].Port() {
+			return nil, errors.NotSupportedf("companions with ports %d and %d in a survey", companions[0].Port(), companion.Port())
+		}
+		ip := companion.Addr().As4()
+		datagram = append(datagram, ip[:]...)
 	}
-	return buffer
+	return datagram, nil
 }
 
-// decodeSurvey returns the number, the key and the addresses after them.
+// decodeSurvey returns the number, the key and the companions of a datagram.
 func decodeSurvey(datagram []byte) (uint32, core.FlowKey, []netip.AddrPort, error) {
-	if len(datagram) < surveyHeaderLen || (len(datagram)-surveyHeaderLen)%addressLen != 0 {
+	if len(datagram) < surveyHeaderLen {
 		return 0, core.FlowKey{}, nil, errors.Errorf("truncated survey: %d bytes", len(datagram))
 	}
-	addresses := decodeAddresses(datagram[1+numberLen:])
-	key := core.FlowKey{Caller: addresses[0], Service: addresses[1]}
-	return binary.BigEndian.Uint32(datagram[1:]), key, addresses[2:], nil
+	number, key := decodeHeader(datagram)
+	rest := datagram[surveyHeaderLen:]
+	if len(rest) == 0 {
+		return number, key, nil, nil
+	}
+	if len(rest) < addressLen || (len(rest)-portLen)%ipLen != 0 {
+		return 0, core.FlowKey{}, nil, errors.Errorf("survey with %d bytes of addresses", len(rest))
+	}
+	port := binary.BigEndian.Uint16(rest)
+	var companions []netip.AddrPort
+	for rest = rest[portLen:]; len(rest) > 0; rest = rest[ipLen:] {
+		companions = append(companions, netip.AddrPortFrom(netip.AddrFrom4([ipLen]byte(rest[:ipLen])), port))
+	}
+	return number, key, companions, nil
 }
 
-func decodeAddresses(encoded []byte) []netip.AddrPort {
-	var addresses []netip.AddrPort
-	for ; len(encoded) >= addressLen; encoded = encoded[addressLen:] {
-		ip := netip.AddrFrom4([4]byte(encoded[:4]))
-		addresses = append(addresses, netip.AddrPortFrom(ip, binary.BigEndian.Uint16(encoded[4:])))
-	}
-	return addresses
+func appendHeader(kind Kind, number uint32, key core.FlowKey) []byte {
+	datagram := binary.BigEndian.AppendUint32([]byte{byte(kind)}, number)
+	return appendAddress(appendAddress(datagram, key.Caller), key.Service)
+}
+
+func decodeHeader(datagram []byte) (uint32, core.FlowKey) {
+	key := datagram[1+numberLen:]
+	return binary.BigEndian.Uint32(datagram[1:]), core.FlowKey{Caller: decodeAddress(key), Service: decodeAddress(key[addressLen:])}
+}
+
+func appendAddress(datagram []byte, address netip.AddrPort) []byte {
+	ip := address.Addr().As4()
+	return binary.BigEndian.AppendUint16(append(datagram, ip[:]...), address.Port())
+}
+
+func decodeAddress(encoded []byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([ipLen]byte(encoded[:ipLen])), binary.BigEndian.Uint16(encoded[ipLen:]))
 }
