--- a/passthrough/choice.go
+++ b/passthrough/choice.go
@@ -34,18 +34,20 @@
 )
 
 // choose returns the companion that an opening packet goes to next, nil if there
-// is none left. The service is the same for all copies of the packet at every
-// entry instance; the route's other services are tried only if no backend server
-// of the first can admit the flow.
-func (d *Dispatcher) choose(now time.Time, key core.FlowKey, flow *cachedFlow, r *route.Route) *companion {
-	first := serviceFor(key, r.Shares)
-	best := d.best(now, key, flow, r.Shares[first].Service)
+// is none left, and whether any was left out since it is busy. The service is the same
+// for all copies of the packet at every entry instance; the route's other services are
+// tried only if no backend server of the first can admit the flow.
+func (d *Dispatcher) choose(now time.Time, p *Packet, flow *cachedFlow, r *route.Route) (*companion, bool) {
+	first := serviceFor(p.Key, r.Shares)
+	best, busy := d.best(now, p, flow, r, r.Shares[first].Service)
 	for i := 0; best == nil && i < len(r.Shares); i++ {
 		if i != first && r.Shares[i].Weight > 0 {
-			best = d.best(now, key, flow, r.Shares[i].Service)
+			var otherBusy bool
+			best, otherBusy = d.best(now, p, flow, r, r.Shares[i].Service)
+			busy = busy || otherBusy
 		}
 	}
-	return best
+	return best, busy
 }
 
 // serviceFor returns the index of the service that the flow's hash maps to.
@@ -75,19 +77,26 @@
 }
 
 // best returns the least loaded of the first companions, in the flow's order, that
-// can admit it. Further ones are compared only if none of these is in good health.
-func (d *Dispatcher) best(now time.Time, key core.FlowKey, flow *cachedFlow, service core.ServiceName) *companion {
+// can admit it, and whether any was left out since it is busy. Further ones are compared
+// only if none of these is in good health.
+func (d *Dispatcher) best(now time.Time, p *Packet, flow *cachedFlow, r *route.Route, service core.ServiceName) (*companion, bool) {
 	d.ranked = d.ranked[:0]
+	busy := false
+	own := claimOf(p, r)
 	for _, c := range d.byService[service] {
-		if d.canAdmit(c, flow) {
+		switch {
+		case !d.canAdmit(c, flow):
+		case now.Before(c.busyUntil[own]):
+			busy = true
+		default:
 			d.ranked = append(d.ranked, c)
 		}
 	}
-	best, load := d.leastLoaded(now, d.first(d.ranked, key, choiceCount, localCount))
+	best, load := d.leastLoaded(now, d.first(d.ranked, p.Key, choiceCount, localCount))
 	if load >= stalePenalty {
 		best, _ = d.leastLoaded(now, d.ranked)
 	}
-	return best
+	return best, busy
 }
 
 // leastLoaded returns the companion with the least load, nil for none.
--- a/passthrough/dispatcher.go
+++ b/passthrough/dispatcher.go
@@ -21,6 +21,10 @@
 	// response before it counts as unreachable, and pathRetry how long it does.
 	responseLimit = 100 * time.Millisecond
 	pathRetry     = time.Second
+	// busyPause is how long a companion that has refused a flow for want of time gets no
+	// other flow with the same claim or a lower one, unless it reports room: about as long
+	// as a backend server takes for a few answers.
+	busyPause = 30 * time.Millisecond
 	// statusLimit is the age of the last status beyond which a companion is removed.
 	statusLimit = 70 * time.Second
 	// cacheIdle is how long a flow without packets stays in the cache.
@@ -94,6 +98,8 @@
 	assigned int
 	// digest identifies the status.
 	digest uint32
+	// busyUntil is, for each claim, until when the companion gets no flow.
+	busyUntil [claimCount]time.Time
 	// unansweredSince is when the first opening packet was sent there since it last
 	// responded to one; zero for none.
 	unansweredSince time.Time
@@ -116,6 +122,21 @@
 	return !c.unansweredSince.IsZero() && waiting > responseLimit && waiting < responseLimit+pathRetry
 }
 
+// refusedBusy records that the companion has refused a flow for want of time.
+func (c *companion) refusedBusy(now time.Time, refused claim) {
+	for i := range refused + 1 {
+		c.busyUntil[i] = now.Add(busyPause)
+	}
+}
+
+// setLoad records the companion's load.
+func (c *companion) setLoad(running, flows int) {
+	c.status.Running, c.status.Flows = running, flows
+	if !c.status.full() {
+		c.busyUntil = [claimCount]time.Time{}
+	}
+}
+
 // sentOpening records that an opening packet was sent there.
 func (c *companion) sentOpening(now time.Time) {
 	c.assigned++
@@ -274,8 +295,9 @@
 
 // tryNext sends the flow to the best companion that it wasn't sent to before.
 func (d *Dispatcher) tryNext(now time.Time, p *Packet, flow *cachedFlow, r *route.Route) {
-	best := d.choose(now, p.Key, flow, r)
+	best, busy := d.choose(now, p, flow, r)
 	if best == nil || len(flow.attempts) >= maxAttempts {
+		flow.busy = flow.busy || busy
 		d.exhausted(now, p, flow)
 		return
 	}
@@ -290,7 +312,7 @@
 
 // exhausted handles an opening packet that no further companion can admit.
 func (d *Dispatcher) exhausted(now time.Time, p *Packet, flow *cachedFlow) {
-	if len(flow.attempts) == 0 {
+	if len(flow.attempts) == 0 && !flow.busy {
 		d.remove(p.Key, flow)
 		if now.Sub(d.started) < startGrace {
 			d.wait(now, p, ReasonStarting)
@@ -379,7 +401,10 @@
 	if !known || flow.owner.IsValid() || d.table == nil {
 		return d.out
 	}
-	flow.busy = flow.busy || reason == ReasonBusy
+	if reason == ReasonBusy {
+		flow.busy = true
+		d.refusedBusy(now, from, p)
+	}
 	for i := range flow.attempts {
 		if flow.attempts[i].companion == from {
 			flow.attempts[i].refused, flow.attempts[i].admitted = true, false
@@ -398,6 +423,15 @@
 	return d.out
 }
 
+// refusedBusy records that a companion has refused the flow for want of time.
+func (d *Dispatcher) refusedBusy(now time.Time, from netip.AddrPort, p *Packet) {
+	c, known := d.companions[from]
+	r := d.table.Route(p.Key.Service)
+	if known && r != nil {
+		c.refusedBusy(now, claimOf(p, r))
+	}
+}
+
 // HandleNotHeld handles a packet that a companion returned because its backend
 // server doesn't hold the flow. The result is valid until the next call of a method.
 func (d *Dispatcher) HandleNotHeld(now time.Time, from netip.AddrPort, p *Packet) []Dispatch {
@@ -432,7 +466,7 @@
 func (d *Dispatcher) HandleNote(now time.Time, from netip.AddrPort, note Note) []Dispatch {
 	d.out = d.out[:0]
 	if c, known := d.companions[from]; known {
-		c.status.Running, c.status.Flows = note.Running, note.Flows
+		c.setLoad(note.Running, note.Flows)
 		c.unansweredSince = time.Time{}
 	}
 	flow, known := d.flows[note.Key]
@@ -467,6 +501,7 @@
 	}
 	serviceChanged := !known || c.status.Service != status.Service
 	c.status = status
+	c.setLoad(status.Running, status.Flows)
 	if digest := status.Digest(); digest != c.digest {
 		// The companion or its backend server has changed, and may respond by now.
 		c.digest, c.unansweredSince = digest, time.Time{}
@@ -489,7 +524,7 @@
 		d.requestStatus(from)
 		return d.out
 	}
-	c.status.Running, c.status.Flows = load.Running, load.Flows
+	c.setLoad(load.Running, load.Flows)
 	c.lastSeen = now
 	c.assigned = 0
 	return d.out
--- a/passthrough/pace.go
+++ b/passthrough/pace.go
@@ -1,6 +1,10 @@
 package passthrough
 
-import "time"
+import (
+	"time"
+
+	"zinniapulley.dev/route"
+)
 
 const (
 	// paceWeight is the weight of a new interval in the mean, once there are as many:
@@ -8,21 +12,42 @@
 	paceWeight = 0.05
 	// maxPaceInterval caps one interval.
 	maxPaceInterval = time.Second
-	// urgentPriority is the lowest priority whose requests may use urgentShare of the
-	// time in which callers expect their answer.
+	// urgentPriority is the lowest priority whose requests are urgent.
 	urgentPriority = 1
-	// urgentShare and otherShare are the parts of that time that requests may wait, so
-	// that urgent ones are still admitted when others aren't.
-	urgentShare = 0.9
-	otherShare  = 0.6
-	// repeatShare is the same for a flow whose caller has sent a copy of its opening
-	// packet: its answer is late already, and it yields to those that aren't late.
-	repeatShare = 0.2
 	// freeQueue is how many requests per slot, running or expected, are admitted
 	// regardless of their wait.
 	freeQueue = 2
 )
 
+// claim orders opening packets by how much of a queue they may wait for.
+type claim uint8
+
+const (
+	// claimRepeated: the caller has sent a copy of the packet. Its answer is late already,
+	// and it yields to those that aren't late.
+	claimRepeated claim = iota
+	claimOrdinary
+	claimUrgent
+	claimCount
+)
+
+// waitShares holds, for each claim, the part of the time in which callers expect their
+// answer that requests may wait, so that urgent ones are still admitted when others
+// aren't.
+var waitShares = [claimCount]float64{claimRepeated: 0.2, claimOrdinary: 0.6, claimUrgent: 0.9}
+
+// claimOf returns the claim of an opening packet.
+func claimOf(p *Packet, r *route.Route) claim {
+	switch {
+	case p.Ack > 0:
+		return claimRepeated
+	case r.Priority <= urgentPriority:
+		return claimUrgent
+	default:
+		return claimOrdinary
+	}
+}
+
 // pace measures how often a backend server with all slots taken answers.
 type pace struct {
 	// saturatedSince is the time of the last answer after which all slots remained
@@ -70,12 +95,6 @@
 	if r == nil || r.Objective <= 0 {
 		return false
 	}
-	share := otherShare
-	if r.Priority <= urgentPriority {
-		share = urgentShare
-	}
-	if p.Ack > 0 {
-		share = repeatShare
-	}
-	return g.pace.interval == 0 || float64(ahead)*float64(g.pace.interval) > share*float64(r.Objective)
+	allowed := waitShares[claimOf(p, r)] * float64(r.Objective)
+	return g.pace.interval == 0 || float64(ahead)*float64(g.pace.interval) > allowed
 }
--- a/passthrough/waiting.go
+++ b/passthrough/waiting.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -57,11 +58,14 @@
 	}
 }
 
-// retryWaiting decides about the opening packets that wait, if it can be done by now.
+// retryWaiting decides about the opening packets that wait, if it can be done by now. Of
+// those that were refused by busy companions it tries again what all slots could take,
+// the newest first: their answers may still come in time.
 func (d *Dispatcher) retryWaiting(now time.Time) {
 	if !d.settled(now) {
 		return
 	}
+	var busy []waitingPacket
 	for key, w := range d.waiting {
 		switch {
 		case now.Sub(w.since) > waitLimit:
@@ -69,10 +73,30 @@
 			if !w.tried {
 				d.drop(&w.packet, w.reason)
 			}
-		case !w.tried && !now.Before(w.retryAt):
+		case w.tried || now.Before(w.retryAt):
+		case w.reason == ReasonBusy:
+			busy = append(busy, w)
+		default:
 			d.openingPacket(now, &w.packet)
 		}
 	}
+	slices.SortFunc(busy, func(a, b waitingPacket) int {
+		return cmp.Or(b.since.Compare(a.since), cmp.Compare(hashOf(a.packet.Key), hashOf(b.packet.Key)))
+	})
+	for i := range busy[:min(len(busy), d.readySlots(now))] {
+		d.openingPacket(now, &busy[i].packet)
+	}
+}
+
+// readySlots returns how many slots the companions have that admit new flows.
+func (d *Dispatcher) readySlots(now time.Time) int {
+	slots := 0
+	for _, c := range d.companions {
+		if c.status.Ready && !now.Before(c.busyUntil[claimUrgent]) {
+			slots += c.status.Slots
+		}
+	}
+	return slots
 }
 
 // triedAgain records that the flow's waiting packet, if there is one, was sent to a
