--- a/passthrough/search.go
+++ b/passthrough/search.go
@@ -10,11 +10,13 @@
 )
 
 const (
-	// narrowLookup is how many companions, first in the flow's order, are queried
-	// first, and narrowLocal how many of this data centre: those that shared the choice
-	// at its opening, and two that may have been skipped then.
-	narrowLookup = choiceCount + 2
-	narrowLocal  = localCount + 2
+	// skippedCount is how many companions a lookup asks beyond those that shared the
+	// choice at the flow's opening: they may have been skipped then.
+	skippedCount = 2
+	// beyondLikely and beyondFirst are how long a lookup waits for the likely companions
+	// before it asks the first ones too, and for these before it asks all.
+	beyondLikely = 120 * time.Millisecond
+	beyondFirst  = 300 * time.Millisecond
 	// queryTimeout is how long answers to queries take at most, unless they are lost, and
 	// surveyLimit the same for results of surveys.
 	queryTimeout = 60 * time.Millisecond
@@ -48,6 +50,19 @@
 	maxHeldPackets = 256
 )
 
+// scope is which companions a lookup asks.
+type scope uint8
+
+const (
+	// scopeLikely: those of this data centre that shared the choice at the flow's opening,
+	// and the first of all data centres.
+	scopeLikely scope = iota
+	// scopeFirst: all that shared the choice, and some that may have been skipped.
+	scopeFirst
+	// scopeAll: all that may hold the flow.
+	scopeAll
+)
+
 // flowLookup is the state of the lookup of a flow's owner.
 type flowLookup struct {
 	// number identifies the lookup.
@@ -55,8 +70,8 @@
 	began  time.Time
 	// retryAt is when the queries without an answer are repeated.
 	retryAt time.Time
-	// wide is set once the first companions in the flow's order don't hold the flow.
-	wide bool
+	// scope is what companions are asked.
+	scope scope
 	// notHeldBy holds the companions that don't hold the flow.
 	notHeldBy map[netip.AddrPort]bool
 	// surveys holds the companions asked by the last survey of each conductor.
@@ -100,13 +115,13 @@
 func (d *Dispatcher) beginLookup(now time.Time, l *flowLookup) {
 	d.lookups++
 	l.number, l.began, l.retryAt = d.lookups, now, now
-	l.wide, l.notHeldBy = false, make(map[netip.AddrPort]bool)
+	l.scope, l.notHeldBy = scopeLikely, make(map[netip.AddrPort]bool)
 	l.surveys = make(map[netip.AddrPort][]netip.AddrPort)
 }
 
 // retryLookups repeats the queries without an answer, without waiting for the caller to
-// repeat its packet, and no longer waits for the first companions before it asks the
-// others.
+// repeat its packet. It no longer waits for companions that don't answer before it asks
+// further ones.
 func (d *Dispatcher) retryLookups(now time.Time) {
 	d.refillQueries(now)
 	for l, key := range d.active {
@@ -116,11 +131,23 @@
 		if l.expired(now) {
 			d.beginLookup(now, l)
 		}
-		l.wide = l.wide || d.discovered(now)
+		l.scope = max(l.scope, d.scopeAfter(now, now.Sub(l.began)))
 		d.sendQueries(now, key, l)
 	}
 }
 
+// scopeAfter returns whom a lookup asks at least after the given time.
+func (d *Dispatcher) scopeAfter(now time.Time, elapsed time.Duration) scope {
+	switch {
+	case elapsed >= beyondFirst && d.discovered(now):
+		return scopeAll
+	case elapsed >= beyondLikely:
+		return scopeFirst
+	default:
+		return scopeLikely
+	}
+}
+
 // refillQueries adds to the messages that lookups may send.
 func (d *Dispatcher) refillQueries(now time.Time) {
 	elapsed := min(now.Sub(d.refilledAt), time.Second)
@@ -161,8 +188,8 @@
 }
 
 // possibleHolders returns the companions whose backend servers may hold a flow, in
-// the flow's order: all of them if wide is set, otherwise the first ones.
-func (d *Dispatcher) possibleHolders(key core.FlowKey, wide bool) []*companion {
+// the flow's order, that are in the scope.
+func (d *Dispatcher) possibleHolders(key core.FlowKey, asked scope) []*companion {
 	r := d.routeOf(key)
 	d.ranked = d.ranked[:0]
 	for _, c := range d.companions {
@@ -170,11 +197,15 @@
 			d.ranked = append(d.ranked, c)
 		}
 	}
-	if wide {
+	switch asked {
+	case scopeLikely:
+		return d.first(d.ranked, key, skippedCount, localCount)
+	case scopeFirst:
+		return d.first(d.ranked, key, choiceCount+skippedCount, localCount+skippedCount)
+	default:
 		rank(d.ranked, key)
 		return d.ranked
 	}
-	return d.first(d.ranked, key, narrowLookup, narrowLocal)
 }
 
 // routeOf returns the route of a flow, nil if there is none.
@@ -203,8 +234,8 @@
 // surveys if they are many.
 func (d *Dispatcher) sendQueries(now time.Time, key core.FlowKey, l *flowLookup) {
 	l.retryAt = now.Add(queryTimeout)
-	asked := slices.DeleteFunc(d.possibleHolders(key, l.wide), func(c *companion) bool { return l.notHeldBy[c.status.Companion] })
-	if l.wide && len(asked) > directQueries {
+	asked := slices.DeleteFunc(d.possibleHolders(key, l.scope), func(c *companion) bool { return l.notHeldBy[c.status.Companion] })
+	if l.scope == scopeAll && len(asked) > directQueries {
 		l.retryAt = now.Add(surveyLimit)
 		d.sendSurveys(now, key, l, asked)
 		return
@@ -264,18 +295,15 @@
 // normally.
 func (d *Dispatcher) concludeLookup(now time.Time, key core.FlowKey, flow *cachedFlow) {
 	l := flow.lookup
-	if !d.noneHolds(now, key, l) {
-		return
-	}
-	if !l.wide {
-		if !d.discovered(now) {
+	for d.noneHolds(now, key, l) && l.scope != scopeAll {
+		if l.scope == scopeFirst && !d.discovered(now) {
 			return
 		}
-		l.wide = true
+		l.scope++
 		d.sendQueries(now, key, l)
-		if !d.noneHolds(now, key, l) {
-			return
-		}
+	}
+	if !d.noneHolds(now, key, l) {
+		return
 	}
 	if flow.closing || d.table == nil || d.table.Route(key.Service) == nil || !d.discovered(now) || !d.seenAllListed(now) {
 		return
@@ -307,8 +335,8 @@
 // it doesn't hold the flow.
 func (d *Dispatcher) noneHolds(now time.Time, key core.FlowKey, l *flowLookup) bool {
 	holds := func(c *companion) bool { return !l.notHeldBy[c.status.Companion] && !c.departedUnused(now) }
-	if !l.wide {
-		return !slices.ContainsFunc(d.possibleHolders(key, false), holds)
+	if l.scope != scopeAll {
+		return !slices.ContainsFunc(d.possibleHolders(key, l.scope), holds)
 	}
 	r := d.routeOf(key)
 	for _, c := range d.companions {
