--- a/cmd/zinniapulley/platform.go
+++ b/cmd/zinniapulley/platform.go
@@ -180,7 +180,7 @@
 	s := c.settings
 	built, err := entry.New(entry.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Packets: s.Listen.Packets, Peers: c.internalAddress(), Seeds: c.seeds,
-		Codec: platform.Datagrams{CallerPort: s.Listen.Packets.Port()}, Log: c.log, Metrics: c.metrics,
+		Network: s.Network, Codec: platform.Datagrams{CallerPort: s.Listen.Packets.Port()}, Log: c.log, Metrics: c.metrics,
 	})
 	if err != nil {
 		return err
--- a/measure/flows/flows.go
+++ b/measure/flows/flows.go
@@ -251,6 +251,9 @@
 			d.HandleStatus(f.now, status)
 		}
 	}
+	for i, d := range f.dispatchers {
+		f.dispatch(i, d.Continue(f.now))
+	}
 }
 
 func (f *forwarding) change(accepting []int, restarted int) {
@@ -291,6 +294,7 @@
 	f.now = f.now.Add(packetGap)
 	for range maxSends {
 		f.dispatchers[entry].Sweep(f.now)
+		f.dispatch(entry, f.dispatchers[entry].Continue(f.now))
 		f.handlePacket(entry, &passthrough.Packet{Key: key, Flags: core.TCPAck, Ack: 5001})
 		if f.deliveredTo >= 0 {
 			break
@@ -308,6 +312,10 @@
 // dispatch executes the actions of a Dispatcher and counts the messages.
 func (f *forwarding) dispatch(entry int, actions []passthrough.Dispatch) {
 	for _, a := range append([]passthrough.Dispatch(nil), actions...) {
+		if a.Kind == passthrough.DispatchSurvey {
+			f.survey(entry, a)
+			continue
+		}
 		if a.Kind != passthrough.DispatchForward && a.Kind != passthrough.DispatchLookup && a.Kind != passthrough.DispatchQuery {
 			continue
 		}
@@ -323,6 +331,31 @@
 	}
 }
 
+// survey has the companion of the action query the others.
+func (f *forwarding) survey(entry int, a passthrough.Dispatch) {
+	f.sent++
+	surveys := passthrough.NewSurveys()
+	from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(entry)}), 9000)
+	query, _ := surveys.Begin(f.now, from, a.Survey)
+	for _, at := range a.Survey.Ask {
+		f.sent++
+		octets := at.Addr().As4()
+		i := int(octets[2])<<8 | int(octets[3])
+		for _, answer := range append([]passthrough.GateAction(nil), f.gates[i].HandleSurveyQuery(f.now, a.To, query)...) {
+			if answer.Kind != passthrough.GateSurveyAnswer {
+				f.execute(entry, i, []passthrough.GateAction{answer})
+				continue
+			}
+			f.sent++
+			finished, done := surveys.NotHeld(at, answer.SurveyNumber)
+			if done {
+				f.sent++
+				f.dispatch(entry, f.dispatchers[entry].HandleSurveyResult(f.now, a.To, finished.Result))
+			}
+		}
+	}
+}
+
 func (f *forwarding) execute(entry, companion int, actions []passthrough.GateAction) {
 	for _, a := range append([]passthrough.GateAction(nil), actions...) {
 		switch a.Kind {
--- a/passthrough/report_test.go
+++ b/passthrough/report_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/onsi/gomega"
 	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/route"
 )
 
 // tick is the time between two calls of Reports.Due.
@@ -130,3 +131,23 @@
 	unknown := d.HandleLoad(start, companionAt(9), status.Load())
 	g.Expect(targets(unknown, passthrough.DispatchStatusRequest)).To(gomega.ConsistOf(companionAt(9)))
 }
+
+// Among thousands of companions the reports of one are seconds apart. One that has just
+// started beside a running backend server may hold flows until its next report.
+func TestRareReportsAreNoDeparture(t *testing.T) {
+	g := gomega.NewWithT(t)
+	view := *table(1).View
+	view.Companions = []route.Companion{{Address: companionAt(1)}, {Address: companionAt(2)}}
+	d := passthrough.NewDispatcher(start.Add(-time.Hour), "north")
+	d.SetTable(route.Compile(&view))
+	d.HandleStatus(start.Add(3*time.Second), statusOf(1))
+	starting := passthrough.Status{Companion: companionAt(2), DataCentre: "north", ReportInterval: 6 * time.Second}
+	d.HandleStatus(start, starting)
+	later := start.Add(3 * time.Second)
+	d.Handle(later, data(1, 5001))
+	denied := passthrough.Note{Kind: passthrough.NoteNotHeld, Key: flowKey(1)}
+	g.Expect(targets(d.HandleNote(later, companionAt(1), denied), passthrough.DispatchReset)).To(gomega.BeEmpty())
+	late := start.Add(20 * time.Second)
+	d.Handle(late, data(1, 5001))
+	g.Expect(targets(d.HandleNote(late, companionAt(1), denied), passthrough.DispatchReset)).To(gomega.HaveLen(1), "it has departed by then")
+}
--- a/passthrough/search.go
+++ b/passthrough/search.go
@@ -36,14 +36,19 @@
 	// companions: 4 s, after which a machine that is down no longer counts as healthy.
 	// A process takes less than that to restart.
 	missingLimit = 4 * time.Second
-	// departedAfter is the age of the last status at which a companion that has no
-	// record of a backend server counts as departed: six intervals between its
-	// statuses.
+	// departedAfter is the least age of the last report at which a companion that has no
+	// record of a backend server counts as departed.
 	departedAfter = 2 * time.Second
-	// queriesPerSecond and maxQueryBurst bound the messages of lookups. In any second they
-	// use a third of a network of 2 Mbit/s; callers' packets need the rest.
-	queriesPerSecond = 1000
-	maxQueryBurst    = 600
+	// lookupShare is the part of an entry instance's network that the messages of lookups
+	// may use in any second; callers' packets need the rest. burstShare is the part of that
+	// which may be used at once.
+	lookupShare = 1. / 3
+	burstShare  = 3. / 8
+	// maxNetwork is the most of a network that is counted, in bytes a second, also where
+	// it is unknown: beyond it lookups are bounded by the processor.
+	maxNetwork = 1_250_000
+	// queryLen is the length of a query in bytes, with the headers of UDP and IPv4.
+	queryLen = 52
 	// addressesPerQuery is how many companions of a survey are as long as a query.
 	addressesPerQuery = 13
 	// maxHeldPackets is the most packets held while their flows are looked up.
@@ -139,7 +144,7 @@
 // scopeAfter returns whom a lookup asks at least after the given time.
 func (d *Dispatcher) scopeAfter(now time.Time, elapsed time.Duration) scope {
 	switch {
-	case elapsed >= beyondFirst && d.discovered(now):
+	case elapsed >= beyondFirst && d.asksAll(now):
 		return scopeAll
 	case elapsed >= beyondLikely:
 		return scopeFirst
@@ -152,13 +157,27 @@
 func (d *Dispatcher) refillQueries(now time.Time) {
 	elapsed := min(now.Sub(d.refilledAt), time.Second)
 	d.refilledAt = now
-	d.queries = min(d.queries+queriesPerSecond*elapsed.Seconds(), maxQueryBurst)
+	d.queries = min(d.queries+(1-burstShare)*d.maxQueries*elapsed.Seconds(), burstShare*d.maxQueries)
 }
 
-// discovered reports whether this entry instance has run long enough to know all
-// companions. Before that, no lookup of all companions can end without an owner.
+// SetNetwork sets what this entry instance may send a second, and receive, in bytes; zero
+// if it is unknown.
+func (d *Dispatcher) SetNetwork(bytesPerSecond int) {
+	if bytesPerSecond <= 0 || bytesPerSecond > maxNetwork {
+		bytesPerSecond = maxNetwork
+	}
+	d.maxQueries = lookupShare * float64(bytesPerSecond) / queryLen
+	d.queries = burstShare * d.maxQueries
+}
+
+// discovered reports whether this entry instance has received reports for long enough to
+// know all companions. Before that, no flow is reset.
 func (d *Dispatcher) discovered(now time.Time) bool { return now.Sub(d.started) >= discoveryTime }
 
+// asksAll reports whether lookups may ask all companions. In its first second an entry
+// instance has no cache, and needs its network for its first flows.
+func (d *Dispatcher) asksAll(now time.Time) bool { return now.Sub(d.created) >= discoveryTime }
+
 // holdPacket holds a copy of the packet until the flow's owner is found.
 func (d *Dispatcher) holdPacket(now time.Time, l *flowLookup, p *Packet) {
 	if l.packet == nil {
@@ -296,7 +315,7 @@
 func (d *Dispatcher) concludeLookup(now time.Time, key core.FlowKey, flow *cachedFlow) {
 	l := flow.lookup
 	for d.noneHolds(now, key, l) && l.scope != scopeAll {
-		if l.scope == scopeFirst && !d.discovered(now) {
+		if l.scope == scopeFirst && !d.asksAll(now) {
 			return
 		}
 		l.scope++
@@ -350,5 +369,5 @@
 // departedUnused reports whether the companion had no record of a backend server in
 // its last status, some time ago: its machine was started and removed again.
 func (c *companion) departedUnused(now time.Time) bool {
-	return c.status.Service == "" && now.Sub(c.lastSeen) > departedAfter
+	return c.status.Service == "" && now.Sub(c.lastSeen) > departedAfter && !c.fresh(now)
 }
--- a/passthrough/survey_test.go
+++ b/passthrough/survey_test.go
@@ -192,6 +192,7 @@
 	)
 	g := gomega.NewWithT(t)
 	d := fleet(109, 6)
+	d.SetNetwork(250_000)
 	d.Continue(start)
 	for now := start; now.Before(start.Add(3 * time.Second)); {
 		sent := 0
--- a/roles/entry/entry.go
+++ b/roles/entry/entry.go
@@ -51,7 +51,10 @@
 	Peers netip.AddrPort
 	// Seeds returns the control instances that the settings currently name, at least
 	// one.
-	Seeds   func() []netip.AddrPort
+	Seeds func() []netip.AddrPort
+	// Network is what this instance may send a second, and receive, in bytes; zero if
+	// unknown.
+	Network int
 	Codec   traffic.Codec
 	Log     *slog.Logger
 	Metrics metrics.Registry
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -33,7 +33,7 @@
 }
 
 func newPacketPath(e *Entry) *packetPath {
-	return &packetPath{
+	path := &packetPath{
 		entry:       e,
 		dispatcher:  passthrough.NewDispatcher(time.Now(), e.config.DataCentre),
 		log:         e.lines.Logger(),
@@ -41,6 +41,8 @@
 		failedLimit: asynclog.Limit{PerSecond: failedLinesPerSecond},
 		meter:       traffic.NewMeter(e.config.Metrics),
 	}
+	path.dispatcher.SetNetwork(e.config.Network)
+	return path
 }
 
 // Handle processes one datagram.
