--- a/passthrough/choice.go
+++ b/passthrough/choice.go
@@ -82,7 +82,7 @@
 func (d *Dispatcher) best(now time.Time, p *Packet, flow *cachedFlow, r *route.Route, service core.ServiceName) (*companion, bool) {
 	d.ranked = d.ranked[:0]
 	busy := false
-	own := claimOf(p, r)
+	own := urgencyOf(p, r)
 	for _, c := range d.byService[service] {
 		switch {
 		case !d.canAdmit(c, flow):
--- a/passthrough/companion.go
+++ b/passthrough/companion.go
@@ -17,7 +17,7 @@
 	responseLimit = 100 * time.Millisecond
 	pathRetry     = time.Second
 	// busyPause is how long a companion that has refused a flow for want of time gets no
-	// other flow with the same claim or a lower one, unless it reports room: about as long
+	// other flow with the same urgency or a lower one, unless it reports room: about as long
 	// as a backend server takes for a few answers.
 	busyPause = 30 * time.Millisecond
 	// requestInterval is the time between two requests of missing statuses.
@@ -37,8 +37,8 @@
 	assigned int
 	// digest identifies the status.
 	digest uint32
-	// busyUntil is, for each claim, until when the companion gets no flow.
-	busyUntil [claimCount]time.Time
+	// busyUntil is, for each urgency, until when the companion gets no flow.
+	busyUntil [urgencyCount]time.Time
 	// unansweredSince is when the first opening packet was sent there since it last
 	// responded to one; zero for none.
 	unansweredSince time.Time
@@ -62,7 +62,7 @@
 }
 
 // refusedBusy records that the companion has refused a flow for want of time.
-func (c *companion) refusedBusy(now time.Time, refused claim) {
+func (c *companion) refusedBusy(now time.Time, refused urgency) {
 	for i := range refused + 1 {
 		c.busyUntil[i] = now.Add(busyPause)
 	}
@@ -72,7 +72,7 @@
 func (c *companion) setLoad(running, flows int) {
 	c.status.Running, c.status.Flows = running, flows
 	if !c.status.full() {
-		c.busyUntil = [claimCount]time.Time{}
+		c.busyUntil = [urgencyCount]time.Time{}
 	}
 }
 
--- a/passthrough/dispatcher.go
+++ b/passthrough/dispatcher.go
@@ -358,7 +358,7 @@
 	c, known := d.companions[from]
 	r := d.table.Route(p.Key.Service)
 	if known && r != nil {
-		c.refusedBusy(now, claimOf(p, r))
+		c.refusedBusy(now, urgencyOf(p, r))
 	}
 }
 
--- a/passthrough/pace.go
+++ b/passthrough/pace.go
@@ -19,32 +19,32 @@
 	freeQueue = 2
 )
 
-// claim orders opening packets by how much of a queue they may wait for.
-type claim uint8
+// urgency orders opening packets by how much of a queue they may wait for.
+type urgency uint8
 
 const (
-	// claimRepeated: the caller has sent a copy of the packet. Its answer is late already,
+	// urgencyRepeated: the caller has sent a copy of the packet. Its answer is late already,
 	// and it yields to those that aren't late.
-	claimRepeated claim = iota
-	claimOrdinary
-	claimUrgent
-	claimCount
+	urgencyRepeated urgency = iota
+	urgencyOrdinary
+	urgencyHigh
+	urgencyCount
 )
 
-// waitShares holds, for each claim, the part of the time in which callers expect their
+// waitShares holds, for each urgency, the part of the time in which callers expect their
 // answer that requests may wait, so that urgent ones are still admitted when others
 // aren't.
-var waitShares = [claimCount]float64{claimRepeated: 0.2, claimOrdinary: 0.6, claimUrgent: 0.9}
+var waitShares = [urgencyCount]float64{urgencyRepeated: 0.2, urgencyOrdinary: 0.6, urgencyHigh: 0.9}
 
-// claimOf returns the claim of an opening packet.
-func claimOf(p *Packet, r *route.Route) claim {
+// urgencyOf returns the urgency of an opening packet.
+func urgencyOf(p *Packet, r *route.Route) urgency {
 	switch {
 	case p.Ack > 0:
-		return claimRepeated
+		return urgencyRepeated
 	case r.Priority <= urgentPriority:
-		return claimUrgent
+		return urgencyHigh
 	default:
-		return claimOrdinary
+		return urgencyOrdinary
 	}
 }
 
@@ -95,6 +95,6 @@
 	if r == nil || r.Objective <= 0 {
 		return false
 	}
-	allowed := waitShares[claimOf(p, r)] * float64(r.Objective)
+	allowed := waitShares[urgencyOf(p, r)] * float64(r.Objective)
 	return g.pace.interval == 0 || float64(ahead)*float64(g.pace.interval) > allowed
 }
--- a/passthrough/waiting.go
+++ b/passthrough/waiting.go
@@ -92,7 +92,7 @@
 func (d *Dispatcher) readySlots(now time.Time) int {
 	slots := 0
 	for _, c := range d.companions {
-		if c.status.Ready && !now.Before(c.busyUntil[claimUrgent]) {
+		if c.status.Ready && !now.Before(c.busyUntil[urgencyHigh]) {
 			slots += c.status.Slots
 		}
 	}
