--- a/measure/flows/flows.go
+++ b/measure/flows/flows.go
@@ -239,6 +239,16 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 8000)
 }
 
+// companionIndex is the inverse of companionAddress.
+func companionIndex(address netip.AddrPort) int {
+	octets := address.Addr().As4()
+	return int(octets[2])<<8 | int(octets[3])
+}
+
+func entryAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 9000)
+}
+
 // broadcastStatus sends every companion's status to every entry instance.
 func (f *forwarding) broadcastStatus() {
 	for _, d := range f.dispatchers {
@@ -320,9 +330,7 @@
 			continue
 		}
 		f.sent++
-		octets := a.To.Addr().As4()
-		i := int(octets[2])<<8 | int(octets[3])
-		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(entry)}), 9000)
+		i, from := companionIndex(a.To), entryAddress(entry)
 		if a.Kind == passthrough.DispatchQuery {
 			f.execute(entry, i, f.gates[i].HandleQuery(f.now, from, a.Packet.Key))
 			continue
@@ -335,12 +343,10 @@
 func (f *forwarding) survey(entry int, a passthrough.Dispatch) {
 	f.sent++
 	surveys := passthrough.NewSurveys()
-	from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(entry)}), 9000)
-	query, _ := surveys.Begin(f.now, from, a.Survey)
+	query, _ := surveys.Begin(f.now, entryAddress(entry), a.Survey)
 	for _, at := range a.Survey.Ask {
 		f.sent++
-		octets := at.Addr().As4()
-		i := int(octets[2])<<8 | int(octets[3])
+		i := companionIndex(at)
 		for _, answer := range append([]passthrough.GateAction(nil), f.gates[i].HandleSurveyQuery(f.now, a.To, query)...) {
 			if answer.Kind != passthrough.GateSurveyAnswer {
 				f.execute(entry, i, []passthrough.GateAction{answer})
--- a/passthrough/dispatcher.go
+++ b/passthrough/dispatcher.go
@@ -263,7 +263,7 @@
 	busy := flow.busy && p.Ack < callerCopies
 	d.remove(p.Key, flow)
 	if busy {
-		// There may be room soon, and the caller has not given up.
+		// There may be room soon, and the caller still waits.
 		d.wait(now, p, ReasonBusy)
 		return
 	}
--- a/passthrough/expectation.go
+++ b/passthrough/expectation.go
@@ -40,7 +40,7 @@
 	if e.meanTime == 0 {
 		e.meanTime = took
 	}
-	e.meanTime += time.Duration(confirmWeight * float64(took-e.meanTime))
+	e.meanTime = smooth(e.meanTime, took, confirmWeight)
 	e.remove(flow)
 }
 
--- a/passthrough/health.go
+++ b/passthrough/health.go
@@ -41,7 +41,7 @@
 
 // answered records an answer and the time that it took.
 func (h *health) answered(now time.Time, took time.Duration) {
-	h.meanAnswerTime += time.Duration(answerTimeWeight * float64(took-h.meanAnswerTime))
+	h.meanAnswerTime = smooth(h.meanAnswerTime, took, answerTimeWeight)
 	h.failureShare -= failureWeight * h.failureShare
 	if h.failureShare < failingShare {
 		h.retryAt = time.Time{}
--- a/passthrough/pace.go
+++ b/passthrough/pace.go
@@ -78,7 +78,12 @@
 func (p *pace) add(interval time.Duration) {
 	p.samples++
 	weight := max(paceWeight, 1/float64(p.samples))
-	p.interval += time.Duration(weight * float64(min(interval, maxPaceInterval)-p.interval))
+	p.interval = smooth(p.interval, min(interval, maxPaceInterval), weight)
+}
+
+// smooth returns the moving average after another sample of the weight.
+func smooth(mean, sample time.Duration, weight float64) time.Duration {
+	return mean + time.Duration(weight*float64(sample-mean))
 }
 
 // busy reports whether the first request of a new flow would wait so long that its
--- a/passthrough/packet.go
+++ b/passthrough/packet.go
@@ -15,6 +15,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"zinniapulley.dev/core"
@@ -35,6 +36,13 @@
 	Data []byte
 }
 
+// clone returns a copy that shares no memory with the packet.
+func (p *Packet) clone() Packet {
+	c := *p
+	c.Data = slices.Clone(p.Data)
+	return c
+}
+
 // Reason is why an action was chosen. Its string is a log and metric value.
 type Reason uint8
 
--- a/passthrough/report.go
+++ b/passthrough/report.go
@@ -82,13 +82,15 @@
 	// sent an opening packet.
 	lastSent   map[netip.AddrPort]time.Time
 	lastOpened map[netip.AddrPort]time.Time
-	// known is the last status that was sent to all, at knownAt; fullAt is when the last
-	// full one was.
-	known   Status
-	knownAt time.Time
-	fullAt  time.Time
-	entries int
-	// load is the last load that was sent to anybody, at loadAt.
+	// full is whether the backend server was full, and entries how many entry instances
+	// were listed, at sentAt, when all were last sent something. statusAt is when they were
+	// last sent a full status.
+	full     bool
+	entries  int
+	sentAt   time.Time
+	statusAt time.Time
+	// load is the last load that was sent to anybody, at loadAt. Its digest is that of the
+	// last full status.
 	load   Load
 	loadAt time.Time
 }
@@ -119,29 +121,25 @@
 func (r *Reports) Due(now time.Time, status Status, entries []netip.AddrPort, companions int) Report {
 	status.ReportInterval = intervalFor(companions)
 	recentInterval := time.Duration(recentShare * float64(status.ReportInterval))
-	digest := status.Digest()
-	changed := digest != r.known.Digest() || status.full() != r.known.full() || len(entries) != r.entries
+	load := status.Load()
+	changed := load.Digest != r.load.Digest || status.full() != r.full || len(entries) != r.entries
+	whole := changed || now.Sub(r.statusAt) >= fullStatusInterval
 	switch {
-	case changed || now.Sub(r.fullAt) >= fullStatusInterval:
-		r.fullAt = now
-		r.sentToAll(now, status, len(entries))
-		return Report{Status: status, Full: true, To: r.all(now, entries)}
-	case now.Sub(r.knownAt) >= status.ReportInterval:
-		r.sentToAll(now, status, len(entries))
-		return Report{Status: status, To: r.all(now, entries)}
-	case status.Load() != r.load && now.Sub(r.loadAt) >= recentInterval:
-		r.load, r.loadAt = status.Load(), now
+	case whole || now.Sub(r.sentAt) >= status.ReportInterval:
+		if whole {
+			r.statusAt = now
+		}
+		r.full, r.entries, r.sentAt = status.full(), len(entries), now
+		r.load, r.loadAt = load, now
+		return Report{Status: status, Full: whole, To: r.all(now, entries)}
+	case load != r.load && now.Sub(r.loadAt) >= recentInterval:
+		r.load, r.loadAt = load, now
 		return Report{Status: status, To: r.recent(now)}
 	default:
 		return Report{}
 	}
 }
 
-func (r *Reports) sentToAll(now time.Time, status Status, entries int) {
-	r.known, r.knownAt, r.entries = status, now, entries
-	r.load, r.loadAt = status.Load(), now
-}
-
 // intervalFor returns the time between two reports to all entry instances.
 func intervalFor(companions int) time.Duration {
 	return reportInterval * time.Duration(1+companions/companionsPerInterval)
--- a/passthrough/search.go
+++ b/passthrough/search.go
@@ -186,8 +186,7 @@
 		}
 		d.heldPackets++
 	}
-	held := *p
-	held.Data = slices.Clone(p.Data)
+	held := p.clone()
 	l.packet, l.heldAt, l.sentTo = &held, now, l.sentTo[:0]
 }
 
@@ -314,23 +313,29 @@
 // normally.
 func (d *Dispatcher) concludeLookup(now time.Time, key core.FlowKey, flow *cachedFlow) {
 	l := flow.lookup
-	for d.noneHolds(now, key, l) && l.scope != scopeAll {
+	for d.noneHolds(now, key, l) {
+		if l.scope == scopeAll {
+			d.resetLost(now, key, flow)
+			return
+		}
 		if l.scope == scopeFirst && !d.asksAll(now) {
 			return
 		}
 		l.scope++
 		d.sendQueries(now, key, l)
 	}
-	if !d.noneHolds(now, key, l) {
-		return
-	}
+}
+
+// resetLost resets a flow that every companion has denied, once this entry instance knows
+// all companions.
+func (d *Dispatcher) resetLost(now time.Time, key core.FlowKey, flow *cachedFlow) {
 	if flow.closing || d.table == nil || d.table.Route(key.Service) == nil || !d.discovered(now) || !d.seenAllListed(now) {
 		return
 	}
-	if len(l.notHeldBy) == 0 {
+	if len(flow.lookup.notHeldBy) == 0 {
 		return
 	}
-	ack := l.ack
+	ack := flow.lookup.ack
 	d.remove(key, flow)
 	d.out = append(d.out, Dispatch{Kind: DispatchReset, Reason: ReasonFlowLost, Packet: &Packet{Key: key}, ResetSeq: ack})
 }
--- a/passthrough/waiting.go
+++ b/passthrough/waiting.go
@@ -42,9 +42,7 @@
 		d.drop(p, reason)
 		return
 	}
-	kept := *p
-	kept.Data = slices.Clone(p.Data)
-	w := waitingPacket{packet: kept, since: now, retryAt: now, reason: reason}
+	w := waitingPacket{packet: p.clone(), since: now, retryAt: now, reason: reason}
 	if reason == ReasonBusy {
 		w.retryAt = now.Add(busyRetry)
 	}
