--- a/cmd/zinniapulley/platform.go
+++ b/cmd/zinniapulley/platform.go
@@ -18,7 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/durable"
-	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/gate"
 	"zinniapulley.dev/platform"
 	"zinniapulley.dev/roles/companion"
 	"zinniapulley.dev/roles/control"
@@ -204,7 +204,7 @@
 	built, err := companion.New(companion.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Packets: s.Listen.Packets, Outbound: s.Listen.Outbound,
 		Server: s.Server, Health: s.Server, Service: s.Service, Seeds: c.seeds,
-		Gate: passthrough.GateConfig{
+		Gate: gate.Config{
 			DataCentre: s.DataCentre, AnnouncementLimit: time.Duration(float64(s.AnnounceInterval) * announcementLimitIntervals),
 			FirstAnnouncementLimit: s.AnnounceInterval * firstAnnouncementIntervals,
 			ColdFactor:             s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, MaxFlowAge: s.Bounds.MaxFlowAge,
--- a/measure/flows/flows.go
+++ b/measure/flows/flows.go
@@ -12,6 +12,8 @@
 	"github.com/cespare/xxhash/v2"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/dispatch"
+	"zinniapulley.dev/passthrough/gate"
 	"zinniapulley.dev/route"
 )
 
@@ -189,8 +191,8 @@
 // forwarding is the project's own policy: real Dispatchers and Gates.
 type forwarding struct {
 	now         time.Time
-	dispatchers []*passthrough.Dispatcher
-	gates       []*passthrough.Gate
+	dispatchers []*dispatch.Dispatcher
+	gates       []*gate.Gate
 	draining    []bool
 	table       *route.Table
 	sent        int
@@ -216,22 +218,22 @@
 }
 
 func (f *forwarding) startEntry(i int) {
-	f.dispatchers[i] = passthrough.NewDispatcher(f.now, "north")
+	f.dispatchers[i] = dispatch.New(f.now, "north")
 	f.dispatchers[i].SetTable(f.table)
 }
 
 func (f *forwarding) addServer() {
-	gate := passthrough.NewGate(f.now, passthrough.GateConfig{DataCentre: "north", AnnouncementLimit: time.Hour, FirstAnnouncementLimit: time.Hour, MaxFlowAge: time.Hour})
-	gate.SetTable(f.now, f.table)
-	f.gates = append(f.gates, gate)
+	g := gate.New(f.now, gate.Config{DataCentre: "north", AnnouncementLimit: time.Hour, FirstAnnouncementLimit: time.Hour, MaxFlowAge: time.Hour})
+	g.SetTable(f.now, f.table)
+	f.gates = append(f.gates, g)
 	f.draining = append(f.draining, false)
 	f.announce(len(f.gates) - 1)
 }
 
 func (f *forwarding) announce(i int) {
-	f.gates[i].SetTarget(passthrough.Target{
+	f.gates[i].SetTarget(gate.Target{
 		Known: true, StartCount: 1, StartedAfterCompanion: true, LastSeen: f.now,
-		Announcement: passthrough.Announcement{Server: fmt.Sprint(i), Service: "feed", Slots: 10, Draining: f.draining[i]},
+		Announcement: gate.Announcement{Server: fmt.Sprint(i), Service: "feed", Slots: 10, Draining: f.draining[i]},
 	})
 }
 
@@ -254,8 +256,8 @@
 	for _, d := range f.dispatchers {
 		d.Sweep(f.now)
 	}
-	for i, gate := range f.gates {
-		status := gate.Status(f.now)
+	for i, g := range f.gates {
+		status := g.Status(f.now)
 		status.Companion = companionAddress(i)
 		for _, d := range f.dispatchers {
 			d.HandleStatus(f.now, status)
@@ -320,36 +322,36 @@
 }
 
 // dispatch executes the actions of a Dispatcher and counts the messages.
-func (f *forwarding) dispatch(entry int, actions []passthrough.Dispatch) {
-	for _, a := range append([]passthrough.Dispatch(nil), actions...) {
-		if a.Kind == passthrough.DispatchSurvey {
+func (f *forwarding) dispatch(entry int, actions []dispatch.Action) {
+	for _, a := range append([]dispatch.Action(nil), actions...) {
+		if a.Kind == dispatch.Survey {
 			f.survey(entry, a)
 			continue
 		}
-		if a.Kind != passthrough.DispatchForward && a.Kind != passthrough.DispatchLookup && a.Kind != passthrough.DispatchQuery {
+		if a.Kind != dispatch.Forward && a.Kind != dispatch.Lookup && a.Kind != dispatch.Query {
 			continue
 		}
 		f.sent++
 		i, from := companionIndex(a.To), entryAddress(entry)
-		if a.Kind == passthrough.DispatchQuery {
+		if a.Kind == dispatch.Query {
 			f.execute(entry, i, f.gates[i].HandleQuery(f.now, from, a.Packet.Key))
 			continue
 		}
-		f.execute(entry, i, f.gates[i].FromEntry(f.now, from, a.Kind == passthrough.DispatchLookup, 1, a.Packet))
+		f.execute(entry, i, f.gates[i].FromEntry(f.now, from, a.Kind == dispatch.Lookup, 1, a.Packet))
 	}
 }
 
 // survey has the companion of the action query the others.
-func (f *forwarding) survey(entry int, a passthrough.Dispatch) {
+func (f *forwarding) survey(entry int, a dispatch.Action) {
 	f.sent++
-	surveys := passthrough.NewSurveys()
+	surveys := gate.NewSurveys()
 	query, _ := surveys.Begin(f.now, entryAddress(entry), a.Survey)
 	for _, at := range a.Survey.Ask {
 		f.sent++
 		i := companionIndex(at)
-		for _, answer := range append([]passthrough.GateAction(nil), f.gates[i].HandleSurveyQuery(f.now, a.To, query)...) {
-			if answer.Kind != passthrough.GateSurveyAnswer {
-				f.execute(entry, i, []passthrough.GateAction{answer})
+		for _, answer := range append([]gate.Action(nil), f.gates[i].HandleSurveyQuery(f.now, a.To, query)...) {
+			if answer.Kind != gate.AnswerSurvey {
+				f.execute(entry, i, []gate.Action{answer})
 				continue
 			}
 			f.sent++
@@ -362,18 +364,18 @@
 	}
 }
 
-func (f *forwarding) execute(entry, companion int, actions []passthrough.GateAction) {
-	for _, a := range append([]passthrough.GateAction(nil), actions...) {
+func (f *forwarding) execute(entry, companion int, actions []gate.Action) {
+	for _, a := range append([]gate.Action(nil), actions...) {
 		switch a.Kind {
-		case passthrough.GateDeliver:
+		case gate.Deliver:
 			f.deliveredTo = companion
-		case passthrough.GateRefuse:
+		case gate.Refuse:
 			f.sent++
 			f.dispatch(entry, f.dispatchers[entry].HandleRefused(f.now, companionAddress(companion), a.Reason, a.Packet))
-		case passthrough.GateNotHeld:
+		case gate.NotHeld:
 			f.sent++
 			f.dispatch(entry, f.dispatchers[entry].HandleNotHeld(f.now, companionAddress(companion), a.Packet))
-		case passthrough.GateNote:
+		case gate.SendNote:
 			f.sent++
 			f.dispatch(entry, f.dispatchers[entry].HandleNote(f.now, companionAddress(companion), a.Note))
 		}
--- a/passthrough/busy_test.go
+++ b/passthrough/busy_test.go
@@ -7,18 +7,19 @@
 
 	"github.com/onsi/gomega"
 	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/dispatch"
 	"zinniapulley.dev/route"
 )
 
 // refuseAll has every companion refuse what is forwarded to it, and returns how many
 // packets that were.
-func refuseAll(d *passthrough.Dispatcher, now time.Time, actions []passthrough.Dispatch) int {
+func refuseAll(d *dispatch.Dispatcher, now time.Time, actions []dispatch.Action) int {
 	forwarded := 0
-	pending := append([]passthrough.Dispatch{}, actions...)
+	pending := append([]dispatch.Action{}, actions...)
 	for len(pending) > 0 {
 		a := pending[0]
 		pending = pending[1:]
-		if a.Kind == passthrough.DispatchForward {
+		if a.Kind == dispatch.Forward {
 			forwarded++
 			pending = append(pending, d.HandleRefused(now, a.To, passthrough.ReasonBusy, a.Packet)...)
 		}
@@ -49,10 +50,10 @@
 	g := gomega.NewWithT(t)
 	d := dispatcher(1)
 	refuseAll(d, start, d.Handle(start, syn(1)))
-	g.Expect(targets(d.Handle(start, syn(2)), passthrough.DispatchForward)).To(gomega.BeEmpty())
+	g.Expect(targets(d.Handle(start, syn(2)), dispatch.Forward)).To(gomega.BeEmpty())
 	status := statusOf(1)
 	d.HandleLoad(start, companionAt(1), status.Load())
-	g.Expect(targets(d.Handle(start, syn(3)), passthrough.DispatchForward)).To(gomega.HaveLen(1))
+	g.Expect(targets(d.Handle(start, syn(3)), dispatch.Forward)).To(gomega.HaveLen(1))
 }
 
 // What is refused to an ordinary request may still be granted to an urgent one.
@@ -67,7 +68,7 @@
 	send := func(port int, copies uint32, service netip.AddrPort) []netip.AddrPort {
 		p := syn(port)
 		p.Ack, p.Key.Service = copies, service
-		return targets(d.Handle(start, p), passthrough.DispatchForward)
+		return targets(d.Handle(start, p), dispatch.Forward)
 	}
 	refuseAll(d, start, d.Handle(start, syn(1)))
 	g.Expect(send(2, 0, address)).To(gomega.BeEmpty())
--- a/passthrough/choice.go
+++ b/passthrough/dispatch/choice.go
@@ -1,4 +1,4 @@
-package passthrough
+package dispatch
 
 import (
 	"cmp"
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"zinniapulley.dev/core"
+	"zinniapulley.dev/passthrough"
 	"zinniapulley.dev/route"
 )
 
@@ -37,7 +38,7 @@
 // is none left, and whether any was left out since it is busy. The service is the same
 // for all copies of the packet at every entry instance; the route's other services are
 // tried only if no backend server of the first can admit the flow.
-func (d *Dispatcher) choose(now time.Time, p *Packet, flow *cachedFlow, r *route.Route) (*companion, bool) {
+func (d *Dispatcher) choose(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route) (*companion, bool) {
 	first := serviceFor(p.Key, r.Shares)
 	best, busy := d.best(now, p, flow, r, r.Shares[first].Service)
 	for i := 0; best == nil && i < len(r.Shares); i++ {
@@ -79,10 +80,10 @@
 // best returns the least loaded of the first companions, in the flow's order, that
 // can admit it, and whether any was left out since it is busy. Further ones are compared
 // only if none of these is in good health.
-func (d *Dispatcher) best(now time.Time, p *Packet, flow *cachedFlow, r *route.Route, service core.ServiceName) (*companion, bool) {
+func (d *Dispatcher) best(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route, service core.ServiceName) (*companion, bool) {
 	d.ranked = d.ranked[:0]
 	busy := false
-	own := urgencyOf(p, r)
+	own := passthrough.UrgencyOf(p, r)
 	for _, c := range d.byService[service] {
 		switch {
 		case !d.canAdmit(c, flow):
--- a/passthrough/companion.go
+++ b/passthrough/dispatch/companion.go
@@ -1,10 +1,11 @@
-package passthrough
+package dispatch
 
 import (
 	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"zinniapulley.dev/passthrough"
 )
 
 const (
@@ -26,7 +27,7 @@
 
 // companion is a Dispatcher's record of one companion.
 type companion struct {
-	status   Status
+	status   passthrough.Status
 	lastSeen time.Time
 	// hadService is set when the companion has named a service since its first status
 	// and hasn't departed, so that it may hold flows.
@@ -38,7 +39,7 @@
 	// digest identifies the status.
 	digest uint32
 	// busyUntil is, for each urgency, until when the companion gets no flow.
-	busyUntil [urgencyCount]time.Time
+	busyUntil [passthrough.UrgencyCount]time.Time
 	// unansweredSince is when the first opening packet was sent there since it last
 	// responded to one; zero for none.
 	unansweredSince time.Time
@@ -48,7 +49,7 @@
 func (c *companion) fresh(now time.Time) bool {
 	interval := c.status.ReportInterval
 	if interval == 0 {
-		interval = reportInterval
+		interval = passthrough.ReportInterval
 	}
 	return now.Sub(c.lastSeen) <= reportsMissed*interval+reportJitter
 }
@@ -62,7 +63,7 @@
 }
 
 // refusedBusy records that the companion has refused a flow for want of time.
-func (c *companion) refusedBusy(now time.Time, refused urgency) {
+func (c *companion) refusedBusy(now time.Time, refused passthrough.Urgency) {
 	for i := range refused + 1 {
 		c.busyUntil[i] = now.Add(busyPause)
 	}
@@ -71,8 +72,8 @@
 // setLoad records the companion's load.
 func (c *companion) setLoad(running, flows int) {
 	c.status.Running, c.status.Flows = running, flows
-	if !c.status.full() {
-		c.busyUntil = [urgencyCount]time.Time{}
+	if !c.status.Full() {
+		c.busyUntil = [passthrough.UrgencyCount]time.Time{}
 	}
 }
 
@@ -85,7 +86,7 @@
 }
 
 // HandleStatus records the status of a companion and its backend server.
-func (d *Dispatcher) HandleStatus(now time.Time, status Status) {
+func (d *Dispatcher) HandleStatus(now time.Time, status passthrough.Status) {
 	c, known := d.companions[status.Companion]
 	if !known {
 		c = &companion{hash: xxhash.Sum64String(status.Companion.String())}
@@ -109,7 +110,7 @@
 // HandleLoad records the load of a companion. If it belongs to another status than the
 // one known here, the full status is requested. The result is valid until the next call
 // of a method.
-func (d *Dispatcher) HandleLoad(now time.Time, from netip.AddrPort, load Load) []Dispatch {
+func (d *Dispatcher) HandleLoad(now time.Time, from netip.AddrPort, load passthrough.Load) []Action {
 	d.out = d.out[:0]
 	c, known := d.companions[from]
 	if !known || c.digest != load.Digest {
@@ -140,7 +141,7 @@
 }
 
 func (d *Dispatcher) requestStatus(at netip.AddrPort) {
-	d.out = append(d.out, Dispatch{Kind: DispatchStatusRequest, Reason: ReasonStatusUnknown, To: at})
+	d.out = append(d.out, Action{Kind: RequestStatus, Reason: passthrough.ReasonStatusUnknown, To: at})
 }
 
 // index groups the companions by service.
--- a/passthrough/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -1,10 +1,13 @@
-package passthrough
+// Package dispatch decides for an entry instance which companion each packet of a caller
+// goes to. It does no I/O and reads no clock.
+package dispatch
 
 import (
 	"net/netip"
 	"time"
 
 	"zinniapulley.dev/core"
+	"zinniapulley.dev/passthrough"
 	"zinniapulley.dev/route"
 )
 
@@ -33,40 +36,40 @@
 	maxAttempts = 6
 )
 
-// DispatchKind is what an entry instance does with a packet.
-type DispatchKind uint8
+// Kind is what an entry instance does with a packet.
+type Kind uint8
 
 const (
-	// DispatchForward sends the packet to one companion.
-	DispatchForward DispatchKind = iota + 1
-	// DispatchLookup sends a copy of the packet to a companion whose backend server
+	// Forward sends the packet to one companion.
+	Forward Kind = iota + 1
+	// Lookup sends a copy of the packet to a companion whose backend server
 	// may hold the flow.
-	DispatchLookup
-	// DispatchQuery sends a companion a query whether it holds the flow.
-	DispatchQuery
-	// DispatchSurvey has a companion query others whether they hold the flow.
-	DispatchSurvey
-	// DispatchStatusRequest requests a companion's full status.
-	DispatchStatusRequest
-	// DispatchReset answers the caller with a reset.
-	DispatchReset
-	// DispatchWait keeps the packet until it can be decided about.
-	DispatchWait
-	// DispatchDrop discards the packet.
-	DispatchDrop
+	Lookup
+	// Query sends a companion a query whether it holds the flow.
+	Query
+	// Survey has a companion query others whether they hold the flow.
+	Survey
+	// RequestStatus requests a companion's full status.
+	RequestStatus
+	// Reset answers the caller with a reset.
+	Reset
+	// Wait keeps the packet until it can be decided about.
+	Wait
+	// Drop discards the packet.
+	Drop
 )
 
-// Dispatch is one action on a packet.
-type Dispatch struct {
-	Kind   DispatchKind
-	Reason Reason
+// Action is one action on a packet.
+type Action struct {
+	Kind   Kind
+	Reason passthrough.Reason
 	To     netip.AddrPort
-	Packet *Packet
+	Packet *passthrough.Packet
 	// ResetSeq is the sequence number of the reset.
 	ResetSeq uint32
-	Survey   Survey
+	Survey   passthrough.Survey
 	// Status and Age are what the choice of To was based on, for the log.
-	Status Status
+	Status passthrough.Status
 	Age    time.Duration
 }
 
@@ -124,11 +127,11 @@
 	heldPackets int
 	// ranked, local and firsts are reused by the choices.
 	ranked, local, firsts []*companion
-	out                   []Dispatch
+	out                   []Action
 }
 
-// NewDispatcher returns a Dispatcher without a view.
-func NewDispatcher(now time.Time, dataCentre core.DataCentre) *Dispatcher {
+// New returns a Dispatcher without a view.
+func New(now time.Time, dataCentre core.DataCentre) *Dispatcher {
 	d := &Dispatcher{
 		dataCentre: dataCentre,
 		created:    now,
@@ -170,7 +173,7 @@
 
 // Handle decides about a packet from a caller. The result is valid until the next
 // call of a method.
-func (d *Dispatcher) Handle(now time.Time, p *Packet) []Dispatch {
+func (d *Dispatcher) Handle(now time.Time, p *passthrough.Packet) []Action {
 	d.out = d.out[:0]
 	if p.Flags.Opens() {
 		d.openingPacket(now, p)
@@ -181,7 +184,7 @@
 }
 
 // openingPacket decides about a packet that requests a new flow.
-func (d *Dispatcher) openingPacket(now time.Time, p *Packet) {
+func (d *Dispatcher) openingPacket(now time.Time, p *passthrough.Packet) {
 	if !d.settled(now) {
 		d.wait(now, p, d.unsettledReason())
 		return
@@ -190,13 +193,13 @@
 	if known && flow.owner.IsValid() {
 		flow.lastSeen = now
 		d.stopWaiting(p.Key)
-		d.forward(now, p, flow.owner, ReasonCached)
+		d.forward(now, p, flow.owner, passthrough.ReasonCached)
 		return
 	}
 	r := d.table.Route(p.Key.Service)
 	if r == nil {
 		d.stopWaiting(p.Key)
-		d.reset(p, ReasonNoRoute)
+		d.reset(p, passthrough.ReasonNoRoute)
 		return
 	}
 	if !known {
@@ -206,7 +209,7 @@
 	flow.lastSeen = now
 	active := flow.activeCompanion(now)
 	if active.IsValid() {
-		d.forward(now, p, active, ReasonAlreadyTried)
+		d.forward(now, p, active, passthrough.ReasonAlreadyTried)
 		return
 	}
 	d.tryNext(now, p, flow, r)
@@ -224,7 +227,7 @@
 }
 
 // tryNext sends the flow to the best companion that it wasn't sent to before.
-func (d *Dispatcher) tryNext(now time.Time, p *Packet, flow *cachedFlow, r *route.Route) {
+func (d *Dispatcher) tryNext(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route) {
 	best, busy := d.choose(now, p, flow, r)
 	if best == nil || len(flow.attempts) >= maxAttempts {
 		flow.busy = flow.busy || busy
@@ -234,29 +237,29 @@
 	d.triedAgain(p.Key)
 	best.sentOpening(now)
 	flow.attempts = append(flow.attempts, attempt{companion: best.status.Companion, sentAt: now})
-	d.out = append(d.out, Dispatch{
-		Kind: DispatchForward, Reason: ReasonChosen, To: best.status.Companion, Packet: p,
+	d.out = append(d.out, Action{
+		Kind: Forward, Reason: passthrough.ReasonChosen, To: best.status.Companion, Packet: p,
 		Status: best.status, Age: now.Sub(best.lastSeen),
 	})
 }
 
 // exhausted handles an opening packet that no further companion can admit.
-func (d *Dispatcher) exhausted(now time.Time, p *Packet, flow *cachedFlow) {
+func (d *Dispatcher) exhausted(now time.Time, p *passthrough.Packet, flow *cachedFlow) {
 	if len(flow.attempts) == 0 && !flow.busy {
 		d.remove(p.Key, flow)
 		if now.Sub(d.started) < startGrace {
-			d.wait(now, p, ReasonStarting)
+			d.wait(now, p, passthrough.ReasonStarting)
 			return
 		}
 		d.stopWaiting(p.Key)
-		d.reset(p, ReasonNoCandidate)
+		d.reset(p, passthrough.ReasonNoCandidate)
 		return
 	}
 	for i := range flow.attempts {
 		// One that hasn't refused may have admitted the flow.
 		if !flow.attempts[i].refused {
 			flow.attempts[i].sentAt = now
-			d.forward(now, p, flow.attempts[i].companion, ReasonAlreadyTried)
+			d.forward(now, p, flow.attempts[i].companion, passthrough.ReasonAlreadyTried)
 			return
 		}
 	}
@@ -264,15 +267,15 @@
 	d.remove(p.Key, flow)
 	if busy {
 		// There may be room soon, and the caller still waits.
-		d.wait(now, p, ReasonBusy)
+		d.wait(now, p, passthrough.ReasonBusy)
 		return
 	}
 	d.stopWaiting(p.Key)
-	d.reset(p, ReasonAllRefused)
+	d.reset(p, passthrough.ReasonAllRefused)
 }
 
 // laterPacket decides about a packet of a flow that should be open.
-func (d *Dispatcher) laterPacket(now time.Time, p *Packet) {
+func (d *Dispatcher) laterPacket(now time.Time, p *passthrough.Packet) {
 	flow, known := d.flows[p.Key]
 	if !known {
 		flow = &cachedFlow{}
@@ -283,7 +286,7 @@
 		flow.closing = true
 	}
 	if flow.owner.IsValid() {
-		d.forward(now, p, flow.owner, ReasonCached)
+		d.forward(now, p, flow.owner, passthrough.ReasonCached)
 		return
 	}
 	if flow.lookup != nil {
@@ -293,7 +296,7 @@
 	sent := false
 	for _, a := range flow.attempts {
 		if !a.refused {
-			d.forward(now, p, a.companion, ReasonAlreadyTried)
+			d.forward(now, p, a.companion, passthrough.ReasonAlreadyTried)
 			sent = true
 		}
 	}
@@ -302,8 +305,8 @@
 	}
 }
 
-func (d *Dispatcher) forward(now time.Time, p *Packet, to netip.AddrPort, reason Reason) {
-	dispatch := Dispatch{Kind: DispatchForward, Reason: reason, To: to, Packet: p}
+func (d *Dispatcher) forward(now time.Time, p *passthrough.Packet, to netip.AddrPort, reason passthrough.Reason) {
+	dispatch := Action{Kind: Forward, Reason: reason, To: to, Packet: p}
 	if c, known := d.companions[to]; known {
 		dispatch.Status, dispatch.Age = c.status, now.Sub(c.lastSeen)
 	}
@@ -312,17 +315,17 @@
 
 // reset answers an opening packet. The sequence number is 0, so that a caller
 // whose flow has opened through another entry instance ignores it.
-func (d *Dispatcher) reset(p *Packet, reason Reason) {
-	d.out = append(d.out, Dispatch{Kind: DispatchReset, Reason: reason, Packet: p})
+func (d *Dispatcher) reset(p *passthrough.Packet, reason passthrough.Reason) {
+	d.out = append(d.out, Action{Kind: Reset, Reason: reason, Packet: p})
 }
 
-func (d *Dispatcher) drop(p *Packet, reason Reason) {
-	d.out = append(d.out, Dispatch{Kind: DispatchDrop, Reason: reason, Packet: p})
+func (d *Dispatcher) drop(p *passthrough.Packet, reason passthrough.Reason) {
+	d.out = append(d.out, Action{Kind: Drop, Reason: reason, Packet: p})
 }
 
 // HandleRefused handles an opening packet that a companion returned without
 // admitting it. The result is valid until the next call of a method.
-func (d *Dispatcher) HandleRefused(now time.Time, from netip.AddrPort, reason Reason, p *Packet) []Dispatch {
+func (d *Dispatcher) HandleRefused(now time.Time, from netip.AddrPort, reason passthrough.Reason, p *passthrough.Packet) []Action {
 	d.out = d.out[:0]
 	if c, known := d.companions[from]; known {
 		c.unansweredSince = time.Time{}
@@ -331,7 +334,7 @@
 	if !known || flow.owner.IsValid() || d.table == nil {
 		return d.out
 	}
-	if reason == ReasonBusy {
+	if reason == passthrough.ReasonBusy {
 		flow.busy = true
 		d.refusedBusy(now, from, p)
 	}
@@ -346,7 +349,7 @@
 	r := d.table.Route(p.Key.Service)
 	if r == nil {
 		d.remove(p.Key, flow)
-		d.reset(p, ReasonNoRoute)
+		d.reset(p, passthrough.ReasonNoRoute)
 		return d.out
 	}
 	d.tryNext(now, p, flow, r)
@@ -354,17 +357,17 @@
 }
 
 // refusedBusy records that a companion has refused the flow for want of time.
-func (d *Dispatcher) refusedBusy(now time.Time, from netip.AddrPort, p *Packet) {
+func (d *Dispatcher) refusedBusy(now time.Time, from netip.AddrPort, p *passthrough.Packet) {
 	c, known := d.companions[from]
 	r := d.table.Route(p.Key.Service)
 	if known && r != nil {
-		c.refusedBusy(now, urgencyOf(p, r))
+		c.refusedBusy(now, passthrough.UrgencyOf(p, r))
 	}
 }
 
 // HandleNotHeld handles a packet that a companion returned because its backend
 // server doesn't hold the flow. The result is valid until the next call of a method.
-func (d *Dispatcher) HandleNotHeld(now time.Time, from netip.AddrPort, p *Packet) []Dispatch {
+func (d *Dispatcher) HandleNotHeld(now time.Time, from netip.AddrPort, p *passthrough.Packet) []Action {
 	d.out = d.out[:0]
 	flow, known := d.flows[p.Key]
 	if !known {
@@ -393,7 +396,7 @@
 
 // HandleNote handles a companion's message about a flow. The result is valid until
 // the next call of a method.
-func (d *Dispatcher) HandleNote(now time.Time, from netip.AddrPort, note Note) []Dispatch {
+func (d *Dispatcher) HandleNote(now time.Time, from netip.AddrPort, note passthrough.Note) []Action {
 	d.out = d.out[:0]
 	if c, known := d.companions[from]; known {
 		c.setLoad(note.Running, note.Flows)
@@ -404,19 +407,19 @@
 		return d.out
 	}
 	switch note.Kind {
-	case NoteAdmitted:
+	case passthrough.NoteAdmitted:
 		for i := range flow.attempts {
 			flow.attempts[i].admitted = flow.attempts[i].admitted || flow.attempts[i].companion == from
 		}
-	case NoteHeld:
+	case passthrough.NoteHeld:
 		flow.owner = from
 		flow.attempts = nil
 		d.sendHeldToOwner(now, flow)
-	case NoteLost:
+	case passthrough.NoteLost:
 		flow.closing = true
-	case NoteNotHeld:
+	case passthrough.NoteNotHeld:
 		d.recordNotHeld(now, note.Key, flow, from)
-	case NoteUnsure:
+	case passthrough.NoteUnsure:
 		d.sendLookupCopy(flow, from)
 	}
 	return d.out
@@ -425,7 +428,7 @@
 // Continue continues what waits: requests for statuses, opening packets and lookups. The
 // caller calls it with the first view and at short intervals. The result is valid until
 // the next call of a method.
-func (d *Dispatcher) Continue(now time.Time) []Dispatch {
+func (d *Dispatcher) Continue(now time.Time) []Action {
 	d.out = d.out[:0]
 	d.requestStatuses(now)
 	d.retryWaiting(now)
@@ -446,7 +449,7 @@
 		d.started = now
 	}
 	d.lastSweepCall = now
-	if now.Sub(d.lastSweep) < sweepInterval {
+	if now.Sub(d.lastSweep) < passthrough.SweepInterval {
 		return
 	}
 	d.lastSweep = now
--- a/passthrough/search.go
+++ b/passthrough/dispatch/lookup.go
@@ -1,4 +1,4 @@
-package passthrough
+package dispatch
 
 import (
 	"net/netip"
@@ -6,6 +6,7 @@
 	"time"
 
 	"zinniapulley.dev/core"
+	"zinniapulley.dev/passthrough"
 	"zinniapulley.dev/route"
 )
 
@@ -83,7 +84,7 @@
 	surveys map[netip.AddrPort][]netip.AddrPort
 	// packet is the newest packet, held since heldAt until the owner is found; nil for
 	// none.
-	packet *Packet
+	packet *passthrough.Packet
 	heldAt time.Time
 	// sentTo lists the companions that the packet was sent to.
 	sentTo []netip.AddrPort
@@ -96,7 +97,7 @@
 
 // lookUp starts or continues the lookup of the owner of a packet's flow. notHeldAt,
 // if valid, has just returned the packet and isn't queried.
-func (d *Dispatcher) lookUp(now time.Time, p *Packet, flow *cachedFlow, notHeldAt netip.AddrPort) {
+func (d *Dispatcher) lookUp(now time.Time, p *passthrough.Packet, flow *cachedFlow, notHeldAt netip.AddrPort) {
 	if flow.lookup == nil {
 		flow.lookup = &flowLookup{}
 		d.active[flow.lookup] = p.Key
@@ -179,14 +180,14 @@
 func (d *Dispatcher) asksAll(now time.Time) bool { return now.Sub(d.created) >= discoveryTime }
 
 // holdPacket holds a copy of the packet until the flow's owner is found.
-func (d *Dispatcher) holdPacket(now time.Time, l *flowLookup, p *Packet) {
+func (d *Dispatcher) holdPacket(now time.Time, l *flowLookup, p *passthrough.Packet) {
 	if l.packet == nil {
 		if d.heldPackets >= maxHeldPackets {
 			return
 		}
 		d.heldPackets++
 	}
-	held := p.clone()
+	held := p.Clone()
 	l.packet, l.heldAt, l.sentTo = &held, now, l.sentTo[:0]
 }
 
@@ -266,7 +267,7 @@
 		if !d.takeQueries(key, 1) {
 			return
 		}
-		d.out = append(d.out, Dispatch{Kind: DispatchQuery, Reason: ReasonUnknownFlow, To: c.status.Companion, Packet: &Packet{Key: key}})
+		d.out = append(d.out, Action{Kind: Query, Reason: passthrough.ReasonUnknownFlow, To: c.status.Companion, Packet: &passthrough.Packet{Key: key}})
 	}
 }
 
@@ -274,7 +275,7 @@
 // may be sent, and counts it. The lookup is continued by retryLookups if not.
 func (d *Dispatcher) takeQueries(key core.FlowKey, count float64) bool {
 	if d.queries < count {
-		d.drop(&Packet{Key: key}, ReasonLookupLimit)
+		d.drop(&passthrough.Packet{Key: key}, passthrough.ReasonLookupLimit)
 		return false
 	}
 	d.queries -= count
@@ -285,7 +286,7 @@
 func (d *Dispatcher) sendHeldToOwner(now time.Time, flow *cachedFlow) {
 	l := flow.lookup
 	if l != nil && l.packet != nil && !slices.Contains(l.sentTo, flow.owner) {
-		d.forward(now, l.packet, flow.owner, ReasonAlreadyTried)
+		d.forward(now, l.packet, flow.owner, passthrough.ReasonAlreadyTried)
 	}
 	d.endLookup(flow)
 }
@@ -296,7 +297,7 @@
 		return
 	}
 	flow.lookup.sentTo = append(flow.lookup.sentTo, at)
-	d.out = append(d.out, Dispatch{Kind: DispatchLookup, Reason: ReasonUnknownFlow, To: at, Packet: flow.lookup.packet})
+	d.out = append(d.out, Action{Kind: Lookup, Reason: passthrough.ReasonUnknownFlow, To: at, Packet: flow.lookup.packet})
 }
 
 // recordNotHeld records that a companion doesn't hold the flow.
@@ -337,7 +338,7 @@
 	}
 	ack := flow.lookup.ack
 	d.remove(key, flow)
-	d.out = append(d.out, Dispatch{Kind: DispatchReset, Reason: ReasonFlowLost, Packet: &Packet{Key: key}, ResetSeq: ack})
+	d.out = append(d.out, Action{Kind: Reset, Reason: passthrough.ReasonFlowLost, Packet: &passthrough.Packet{Key: key}, ResetSeq: ack})
 }
 
 // seenAllListed reports whether a status of every listed companion was received
--- a/passthrough/waiting.go
+++ b/passthrough/dispatch/waiting.go
@@ -1,4 +1,4 @@
-package passthrough
+package dispatch
 
 import (
 	"cmp"
@@ -6,6 +6,7 @@
 	"time"
 
 	"zinniapulley.dev/core"
+	"zinniapulley.dev/passthrough"
 )
 
 const (
@@ -25,10 +26,10 @@
 
 // waitingPacket is the newest copy of an opening packet that waits.
 type waitingPacket struct {
-	packet  Packet
+	packet  passthrough.Packet
 	since   time.Time
 	retryAt time.Time
-	reason  Reason
+	reason  passthrough.Reason
 	// tried is set once it was sent to a companion again. It waits on if that refuses it.
 	tried bool
 }
@@ -36,14 +37,14 @@
 // wait keeps an opening packet that can't be decided about yet, or that no backend
 // server had room for. After an outage all callers return at once; one whose packet is
 // dropped would lose the time until its next copy, and after the last one much more.
-func (d *Dispatcher) wait(now time.Time, p *Packet, reason Reason) {
+func (d *Dispatcher) wait(now time.Time, p *passthrough.Packet, reason passthrough.Reason) {
 	previous, known := d.waiting[p.Key]
 	if !known && len(d.waiting) >= maxWaiting {
 		d.drop(p, reason)
 		return
 	}
-	w := waitingPacket{packet: p.clone(), since: now, retryAt: now, reason: reason}
-	if reason == ReasonBusy {
+	w := waitingPacket{packet: p.Clone(), since: now, retryAt: now, reason: reason}
+	if reason == passthrough.ReasonBusy {
 		w.retryAt = now.Add(busyRetry)
 	}
 	sameCopy := known && previous.packet.Ack == p.Ack
@@ -52,7 +53,7 @@
 	}
 	d.waiting[p.Key] = w
 	if !sameCopy || previous.reason != reason {
-		d.out = append(d.out, Dispatch{Kind: DispatchWait, Reason: reason, Packet: p})
+		d.out = append(d.out, Action{Kind: Wait, Reason: reason, Packet: p})
 	}
 }
 
@@ -72,7 +73,7 @@
 				d.drop(&w.packet, w.reason)
 			}
 		case w.tried || now.Before(w.retryAt):
-		case w.reason == ReasonBusy:
+		case w.reason == passthrough.ReasonBusy:
 			busy = append(busy, w)
 		default:
 			d.openingPacket(now, &w.packet)
@@ -90,7 +91,7 @@
 func (d *Dispatcher) readySlots(now time.Time) int {
 	slots := 0
 	for _, c := range d.companions {
-		if c.status.Ready && !now.Before(c.busyUntil[urgencyHigh]) {
+		if c.status.Ready && !now.Before(c.busyUntil[passthrough.UrgencyHigh]) {
 			slots += c.status.Slots
 		}
 	}
@@ -110,11 +111,11 @@
 func (d *Dispatcher) stopWaiting(key core.FlowKey) { delete(d.waiting, key) }
 
 // unsettledReason returns why opening packets wait.
-func (d *Dispatcher) unsettledReason() Reason {
+func (d *Dispatcher) unsettledReason() passthrough.Reason {
 	if d.table == nil {
-		return ReasonNoView
+		return passthrough.ReasonNoView
 	}
-	return ReasonStarting
+	return passthrough.ReasonStarting
 }
 
 // settled reports whether this entry instance has a view, and after its start the
--- a/passthrough/dispatcher_test.go
+++ b/passthrough/dispatcher_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/dispatch"
 	"zinniapulley.dev/route"
 )
 
@@ -54,8 +55,8 @@
 
 // dispatcher returns a Dispatcher that started an hour ago and has the statuses of
 // the companions.
-func dispatcher(companions int) *passthrough.Dispatcher {
-	d := passthrough.NewDispatcher(start.Add(-time.Hour), "north")
+func dispatcher(companions int) *dispatch.Dispatcher {
+	d := dispatch.New(start.Add(-time.Hour), "north")
 	d.SetTable(table(1))
 	for i := 1; i <= companions; i++ {
 		d.HandleStatus(start, statusOf(i))
@@ -63,7 +64,7 @@
 	return d
 }
 
-func targets(actions []passthrough.Dispatch, kind passthrough.DispatchKind) []netip.AddrPort {
+func targets(actions []dispatch.Action, kind dispatch.Kind) []netip.AddrPort {
 	var to []netip.AddrPort
 	for _, a := range actions {
 		if a.Kind == kind {
@@ -76,23 +77,23 @@
 func TestCopiesOfAnOpeningPacketGoWhereTheFirstWasAdmitted(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := dispatcher(5)
-	first := targets(d.Handle(start, syn(1)), passthrough.DispatchForward)
+	first := targets(d.Handle(start, syn(1)), dispatch.Forward)
 	g.Expect(first).To(gomega.HaveLen(1))
 	d.HandleNote(start, first[0], passthrough.Note{Kind: passthrough.NoteAdmitted, Key: flowKey(1)})
 	for _, after := range []time.Duration{50 * time.Millisecond, 200 * time.Millisecond, 600 * time.Millisecond} {
-		g.Expect(targets(d.Handle(start.Add(after), syn(1)), passthrough.DispatchForward)).To(gomega.Equal(first))
+		g.Expect(targets(d.Handle(start.Add(after), syn(1)), dispatch.Forward)).To(gomega.Equal(first))
 	}
 }
 
 func TestCopyOfAnUnansweredOpeningPacketIsTriedElsewhere(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := dispatcher(5)
-	first := targets(d.Handle(start, syn(1)), passthrough.DispatchForward)
-	second := targets(d.Handle(start.Add(200*time.Millisecond), syn(1)), passthrough.DispatchForward)
+	first := targets(d.Handle(start, syn(1)), dispatch.Forward)
+	second := targets(d.Handle(start.Add(200*time.Millisecond), syn(1)), dispatch.Forward)
 	g.Expect(second).To(gomega.HaveLen(1))
 	g.Expect(second).NotTo(gomega.Equal(first))
 	// The caller may acknowledge the answer of either: both get the packet.
-	both := targets(d.Handle(start.Add(210*time.Millisecond), data(1, 5001)), passthrough.DispatchForward)
+	both := targets(d.Handle(start.Add(210*time.Millisecond), data(1, 5001)), dispatch.Forward)
 	g.Expect(both).To(gomega.ConsistOf(first[0], second[0]))
 }
 
@@ -102,14 +103,14 @@
 	actions := d.Handle(start, syn(1))
 	seen := map[netip.AddrPort]bool{}
 	for range 3 {
-		to := targets(actions, passthrough.DispatchForward)
+		to := targets(actions, dispatch.Forward)
 		g.Expect(to).To(gomega.HaveLen(1))
 		g.Expect(seen[to[0]]).To(gomega.BeFalse())
 		seen[to[0]] = true
 		actions = d.HandleRefused(start, to[0], passthrough.ReasonServerRefused, syn(1))
 	}
 	g.Expect(actions).To(gomega.HaveLen(1))
-	g.Expect(actions[0].Kind).To(gomega.Equal(passthrough.DispatchReset))
+	g.Expect(actions[0].Kind).To(gomega.Equal(dispatch.Reset))
 	g.Expect(actions[0].ResetSeq).To(gomega.BeZero())
 }
 
@@ -121,7 +122,7 @@
 	d.HandleStatus(start, far)
 	d.SetTable(table(2, "north"))
 	for port := range 20 {
-		to := targets(d.Handle(start, syn(port)), passthrough.DispatchForward)
+		to := targets(d.Handle(start, syn(port)), dispatch.Forward)
 		g.Expect(to).To(gomega.Equal([]netip.AddrPort{companionAt(3)}))
 	}
 }
@@ -131,13 +132,13 @@
 func TestOpenFlowStaysThroughPlannedChange(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := dispatcher(3)
-	owner := targets(d.Handle(start, syn(1)), passthrough.DispatchForward)[0]
+	owner := targets(d.Handle(start, syn(1)), dispatch.Forward)[0]
 	d.HandleNote(start, owner, passthrough.Note{Kind: passthrough.NoteHeld, Key: flowKey(1)})
 	d.SetTable(table(2, "north"))
 	leaving := statusOf(int(owner.Addr().As4()[3]))
 	leaving.Ready = false
 	d.HandleStatus(start, leaving)
-	g.Expect(targets(d.Handle(start, data(1, 5001)), passthrough.DispatchForward)).To(gomega.Equal([]netip.AddrPort{owner}))
+	g.Expect(targets(d.Handle(start, data(1, 5001)), dispatch.Forward)).To(gomega.Equal([]netip.AddrPort{owner}))
 }
 
 func TestUnknownFlowIsLookedUpAtPossibleHolders(t *testing.T) {
@@ -147,7 +148,7 @@
 	former.Service, unrelated.Service = "old", "other"
 	d.HandleStatus(start, former)
 	d.HandleStatus(start, unrelated)
-	queried := targets(d.Handle(start, data(1, 5001)), passthrough.DispatchQuery)
+	queried := targets(d.Handle(start, data(1, 5001)), dispatch.Query)
 	g.Expect(queried).To(gomega.ConsistOf(companionAt(1), companionAt(2), companionAt(3)))
 }
 
@@ -156,7 +157,7 @@
 func TestLookupWidensOnlyWhenNeeded(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := dispatcher(40)
-	queried := targets(d.Handle(start, data(1, 5001)), passthrough.DispatchQuery)
+	queried := targets(d.Handle(start, data(1, 5001)), dispatch.Query)
 	g.Expect(len(queried)).To(gomega.BeNumerically("<=", 6))
 	surveys, denied := deny(d, start, queried)
 	g.Expect(denied).To(gomega.BeNumerically("<=", 12))
@@ -164,7 +165,7 @@
 	wide := surveys[0].Survey.Ask
 	g.Expect(wide).To(gomega.HaveLen(40 - denied))
 	actions := d.HandleNote(start, wide[7], passthrough.Note{Kind: passthrough.NoteHeld, Key: flowKey(1)})
-	g.Expect(targets(actions, passthrough.DispatchForward)).To(gomega.Equal(wide[7:8]))
+	g.Expect(targets(actions, dispatch.Forward)).To(gomega.Equal(wide[7:8]))
 	g.Expect(actions[0].Packet.Length).To(gomega.Equal(10), "the held packet")
 }
 
@@ -173,9 +174,9 @@
 	g := gomega.NewWithT(t)
 	d := dispatcher(40)
 	for port := range 100 {
-		opened := targets(d.Handle(start, syn(port)), passthrough.DispatchForward)
+		opened := targets(d.Handle(start, syn(port)), dispatch.Forward)
 		other := dispatcher(40)
-		g.Expect(targets(other.Handle(start, data(port, 5001)), passthrough.DispatchQuery)).To(gomega.ContainElement(opened[0]))
+		g.Expect(targets(other.Handle(start, data(port, 5001)), dispatch.Query)).To(gomega.ContainElement(opened[0]))
 	}
 }
 
@@ -196,7 +197,7 @@
 	d := dispatcher(2)
 	d.Handle(start, data(1, 5001))
 	actions := d.HandleNote(start, companionAt(1), passthrough.Note{Kind: passthrough.NoteUnsure, Key: flowKey(1)})
-	g.Expect(targets(actions, passthrough.DispatchLookup)).To(gomega.Equal([]netip.AddrPort{companionAt(1)}))
+	g.Expect(targets(actions, dispatch.Lookup)).To(gomega.Equal([]netip.AddrPort{companionAt(1)}))
 }
 
 func TestFlowIsResetOnlyOnceNoCompanionHoldsIt(t *testing.T) {
@@ -208,7 +209,7 @@
 		g.Expect(d.HandleNote(start, companionAt(1), notHeld)).To(gomega.BeEmpty())
 		g.Expect(d.HandleNote(start, companionAt(2), notHeld)).To(gomega.BeEmpty())
 		actions := d.HandleNote(start, companionAt(3), notHeld)
-		g.Expect(targets(actions, passthrough.DispatchReset)).To(gomega.HaveLen(1))
+		g.Expect(targets(actions, dispatch.Reset)).To(gomega.HaveLen(1))
 		g.Expect(actions[0].ResetSeq).To(gomega.Equal(uint32(5001)))
 	})
 	t.Run("one holds the flow", func(t *testing.T) {
@@ -218,7 +219,7 @@
 		d.HandleNote(start, companionAt(1), notHeld)
 		d.HandleNote(start, companionAt(2), passthrough.Note{Kind: passthrough.NoteHeld, Key: flowKey(1)})
 		g.Expect(d.HandleNote(start, companionAt(3), notHeld)).To(gomega.BeEmpty())
-		g.Expect(targets(d.Handle(start, data(1, 5001)), passthrough.DispatchForward)).To(gomega.Equal([]netip.AddrPort{companionAt(2)}))
+		g.Expect(targets(d.Handle(start, data(1, 5001)), dispatch.Forward)).To(gomega.Equal([]netip.AddrPort{companionAt(2)}))
 	})
 	t.Run("outdated answers don't count", func(t *testing.T) {
 		g := gomega.NewWithT(t)
@@ -239,7 +240,7 @@
 	})
 	t.Run("the entry instance has just started", func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		d := passthrough.NewDispatcher(start, "north")
+		d := dispatch.New(start, "north")
 		d.SetTable(table(1))
 		d.HandleStatus(start, statusOf(1))
 		d.Handle(start, data(1, 5001))
@@ -252,7 +253,7 @@
 	d := dispatcher(1)
 	p := syn(1)
 	p.Key.Service = netip.MustParseAddrPort("198.18.0.1:444")
-	g.Expect(targets(d.Handle(start, p), passthrough.DispatchReset)).To(gomega.HaveLen(1))
+	g.Expect(targets(d.Handle(start, p), dispatch.Reset)).To(gomega.HaveLen(1))
 }
 
 // New flows are spread evenly: the busiest companion has at most 1.15 times the mean.
@@ -262,7 +263,7 @@
 	d := dispatcher(companions)
 	count := map[netip.AddrPort]int{}
 	for port := range flows {
-		to := targets(d.Handle(start, syn(port)), passthrough.DispatchForward)[0]
+		to := targets(d.Handle(start, syn(port)), dispatch.Forward)[0]
 		count[to]++
 		if port%10 == 0 {
 			for i := 1; i <= companions; i++ {
@@ -281,7 +282,7 @@
 
 func BenchmarkForward(b *testing.B) {
 	d := dispatcher(7)
-	owner := targets(d.Handle(start, syn(1)), passthrough.DispatchForward)[0]
+	owner := targets(d.Handle(start, syn(1)), dispatch.Forward)[0]
 	d.HandleNote(start, owner, passthrough.Note{Kind: passthrough.NoteHeld, Key: flowKey(1)})
 	p := data(1, 5001)
 	b.ReportAllocs()
@@ -320,7 +321,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			d := passthrough.NewDispatcher(start, "north")
+			d := dispatch.New(start, "north")
 			d.SetTable(route.Compile(&listed))
 			now := start.Add(c.after)
 			d.HandleStatus(now, statusOf(1))
@@ -328,9 +329,9 @@
 				d.HandleStatus(now, statusOf(2))
 			}
 			d.Handle(now, data(1, 5001))
-			resets := targets(d.HandleNote(now, companionAt(1), notHeld), passthrough.DispatchReset)
+			resets := targets(d.HandleNote(now, companionAt(1), notHeld), dispatch.Reset)
 			if c.back {
-				resets = targets(d.HandleNote(now, companionAt(2), notHeld), passthrough.DispatchReset)
+				resets = targets(d.HandleNote(now, companionAt(2), notHeld), dispatch.Reset)
 			}
 			g.Expect(resets).To(gomega.HaveLen(c.resets))
 		})
@@ -348,14 +349,14 @@
 	started := statusOf(2)
 	started.Service, started.Ready = "", false
 	d.HandleStatus(start, started)
-	queried := targets(d.Handle(start, data(1, 5001)), passthrough.DispatchQuery)
+	queried := targets(d.Handle(start, data(1, 5001)), dispatch.Query)
 	g.Expect(queried).To(gomega.ConsistOf(companionAt(1), companionAt(2)))
 	notHeld := passthrough.Note{Kind: passthrough.NoteNotHeld, Key: flowKey(1)}
-	g.Expect(targets(d.HandleNote(start, companionAt(1), notHeld), passthrough.DispatchReset)).To(gomega.BeEmpty())
+	g.Expect(targets(d.HandleNote(start, companionAt(1), notHeld), dispatch.Reset)).To(gomega.BeEmpty())
 	// One that departed without ever having a backend server delays no reset.
 	later := start.Add(3 * time.Second)
 	d.Handle(later, data(1, 5001))
-	g.Expect(targets(d.HandleNote(later, companionAt(1), notHeld), passthrough.DispatchReset)).To(gomega.HaveLen(1))
+	g.Expect(targets(d.HandleNote(later, companionAt(1), notHeld), dispatch.Reset)).To(gomega.HaveLen(1))
 }
 
 // After a full restart, resets of flows that had ended were delayed by 3 s, until
@@ -379,7 +380,7 @@
 			started.Service, started.Ready = "", false
 			d.HandleStatus(start, started)
 			d.Handle(start, data(1, 5001))
-			g.Expect(targets(d.HandleNote(start, companionAt(1), notHeld), passthrough.DispatchReset)).To(gomega.HaveLen(c.resets))
+			g.Expect(targets(d.HandleNote(start, companionAt(1), notHeld), dispatch.Reset)).To(gomega.HaveLen(c.resets))
 		})
 	}
 }
@@ -390,14 +391,14 @@
 	g := gomega.NewWithT(t)
 	d := dispatcher(2)
 	for port := range 300 {
-		first := targets(d.Handle(start, syn(port)), passthrough.DispatchForward)[0]
+		first := targets(d.Handle(start, syn(port)), dispatch.Forward)[0]
 		d.HandleNotHeld(start, first, data(port, 5001))
-		second := targets(d.Handle(start, syn(port)), passthrough.DispatchForward)[0]
+		second := targets(d.Handle(start, syn(port)), dispatch.Forward)[0]
 		d.HandleRefused(start, second, passthrough.ReasonServerRefused, syn(port))
 	}
 	d.Handle(start, data(1000, 5001))
 	actions := d.HandleNote(start, companionAt(1), passthrough.Note{Kind: passthrough.NoteHeld, Key: flowKey(1000)})
-	g.Expect(targets(actions, passthrough.DispatchForward)).To(gomega.Equal([]netip.AddrPort{companionAt(1)}))
+	g.Expect(targets(actions, dispatch.Forward)).To(gomega.Equal([]netip.AddrPort{companionAt(1)}))
 }
 
 // Of four candidates among all data centres none was local for every other flow of a
@@ -408,7 +409,7 @@
 	const dataCentres, flows = 6, 600
 	d := fleet(108, dataCentres)
 	for port := range flows {
-		to := targets(d.Handle(start, syn(port)), passthrough.DispatchForward)
+		to := targets(d.Handle(start, syn(port)), dispatch.Forward)
 		g.Expect(to).To(gomega.HaveLen(1))
 		g.Expect(to[0].Addr().As4()[3] % dataCentres).To(gomega.BeZero())
 		// Its request is answered before the next flow opens.
@@ -433,7 +434,7 @@
 		d.HandleStatus(start, status)
 	}
 	for port := range 30 {
-		to := targets(d.Handle(start, syn(port)), passthrough.DispatchForward)
+		to := targets(d.Handle(start, syn(port)), dispatch.Forward)
 		g.Expect(to[0].Addr().As4()[3] % 6).NotTo(gomega.BeZero())
 	}
 }
@@ -443,11 +444,11 @@
 func TestUnreachableCompanionIsChosenLast(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := dispatcher(2)
-	cut := targets(d.Handle(start, syn(1)), passthrough.DispatchForward)[0]
+	cut := targets(d.Handle(start, syn(1)), dispatch.Forward)[0]
 	chosen := func(at time.Time, port int) netip.AddrPort {
 		status := statusOf(int(cut.Addr().As4()[3]))
 		d.HandleLoad(at, cut, status.Load())
-		to := targets(d.Handle(at, syn(port)), passthrough.DispatchForward)[0]
+		to := targets(d.Handle(at, syn(port)), dispatch.Forward)[0]
 		if to != cut {
 			d.HandleNote(at, to, passthrough.Note{Kind: passthrough.NoteAdmitted, Key: flowKey(port), Running: 50})
 		}
--- a/passthrough/ended_test.go
+++ b/passthrough/ended_test.go
@@ -7,6 +7,7 @@
 	"github.com/onsi/gomega"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/gate"
 )
 
 // refuseConnection records a refused connection to the backend server, begun now.
@@ -26,14 +27,14 @@
 	b.g.Expect(b.refuseConnection()).To(gomega.BeTrue())
 	resets := map[core.FlowKey]uint32{}
 	for _, a := range b.gate.ResetFlows() {
-		if a.Kind == passthrough.GateReset {
+		if a.Kind == gate.Reset {
 			resets[a.Packet.Key] = a.ResetSeq
 		}
 	}
 	b.g.Expect(resets).To(gomega.Equal(map[core.FlowKey]uint32{flowKey(1): 5001, flowKey(2): 7001}))
 	b.g.Expect(b.gate.Running()).To(gomega.BeZero())
-	b.expect(b.send(syn(3)), passthrough.GateRefuse, passthrough.ReasonServerDown)
-	b.expect(b.gate.HandleQuery(b.now, entryAt, flowKey(4)), passthrough.GateNote, passthrough.ReasonNotHeld)
+	b.expect(b.send(syn(3)), gate.Refuse, passthrough.ReasonServerDown)
+	b.expect(b.gate.HandleQuery(b.now, entryAt, flowKey(4)), gate.SendNote, passthrough.ReasonNotHeld)
 }
 
 // An announcement that came after the connection was begun shows that the backend
@@ -52,7 +53,7 @@
 	b.advance(time.Millisecond)
 	b.g.Expect(b.refuseConnection()).To(gomega.BeTrue())
 	b.g.Expect(b.announce(announcement(9))).To(gomega.BeTrue())
-	b.expect(b.send(syn(1)), passthrough.GateDeliver, passthrough.ReasonAdmitted)
+	b.expect(b.send(syn(1)), gate.Deliver, passthrough.ReasonAdmitted)
 	b.g.Expect(b.gate.ResetFlows()).To(gomega.BeEmpty())
 }
 
@@ -60,16 +61,16 @@
 // whose backend server has started since.
 func TestCompanionWithoutARunningServerTracksAllFlows(t *testing.T) {
 	b := newHarness(t)
-	b.registration = passthrough.NewRegistration(start, gateConfig().AnnouncementLimit)
-	b.gate = passthrough.NewGate(b.now, gateConfig())
+	b.registration = gate.NewRegistration(start, gateConfig().AnnouncementLimit)
+	b.gate = gate.New(b.now, gateConfig())
 	b.gate.SetTable(b.now, table(1))
-	b.expect(b.gate.HandleQuery(b.now, entryAt, flowKey(1)), passthrough.GateNote, passthrough.ReasonUnknownFlow)
+	b.expect(b.gate.HandleQuery(b.now, entryAt, flowKey(1)), gate.SendNote, passthrough.ReasonUnknownFlow)
 	b.g.Expect(b.refuseConnection()).To(gomega.BeTrue())
-	b.expect(b.gate.HandleQuery(b.now, entryAt, flowKey(1)), passthrough.GateNote, passthrough.ReasonNotHeld)
+	b.expect(b.gate.HandleQuery(b.now, entryAt, flowKey(1)), gate.SendNote, passthrough.ReasonNotHeld)
 	late := announcement(30)
 	late.Born = start.Add(-time.Hour).UnixMilli()
 	b.g.Expect(b.announce(late)).To(gomega.BeTrue())
-	b.expect(b.gate.HandleQuery(b.now, entryAt, flowKey(1)), passthrough.GateNote, passthrough.ReasonNotHeld)
+	b.expect(b.gate.HandleQuery(b.now, entryAt, flowKey(1)), gate.SendNote, passthrough.ReasonNotHeld)
 }
 
 func TestUnansweredRequestMakesTheResponseOverdue(t *testing.T) {
@@ -89,15 +90,15 @@
 // counted as not running, and its flows were reset (soak, seed 444).
 func TestReachableBackendServerMayHoldFlows(t *testing.T) {
 	b := newHarness(t)
-	b.registration = passthrough.NewRegistration(start, gateConfig().AnnouncementLimit)
-	b.gate = passthrough.NewGate(b.now, gateConfig())
+	b.registration = gate.NewRegistration(start, gateConfig().AnnouncementLimit)
+	b.gate = gate.New(b.now, gateConfig())
 	b.gate.SetTable(b.now, table(1))
 	b.advance(time.Millisecond)
 	target, recorded := b.registration.ConnectionAccepted()
 	b.g.Expect(recorded).To(gomega.BeTrue())
 	b.gate.SetTarget(target)
 	b.advance(time.Minute / 2)
-	b.expect(b.gate.HandleQuery(b.now, entryAt, flowKey(1)), passthrough.GateNote, passthrough.ReasonUnknownFlow)
+	b.expect(b.gate.HandleQuery(b.now, entryAt, flowKey(1)), gate.SendNote, passthrough.ReasonUnknownFlow)
 	b.g.Expect(b.gate.Status(b.now).Departed).To(gomega.BeFalse())
 	b.g.Expect(b.refuseConnection()).To(gomega.BeTrue())
 	b.g.Expect(b.gate.Status(b.now).Departed).To(gomega.BeTrue())
--- a/passthrough/gate_follow.go
+++ b/passthrough/gate/caller.go
@@ -1,42 +1,48 @@
-package passthrough
+package gate
 
 import (
 	"time"
 
 	"zinniapulley.dev/core"
+	"zinniapulley.dev/passthrough"
 )
 
+// confirmSpan is how far a caller's confirmation may be ahead of the sequence
+// number with which the backend server answered: the SYN-ACK counts as one, and
+// nothing follows it before the confirmation.
+const confirmSpan = 1
+
 // confirmation decides about a packet of a flow that is half-open here. It is
 // accepted only if it acknowledges this backend server's SYN-ACK.
-func (g *Gate) confirmation(now time.Time, p *Packet, flow *gateFlow) {
+func (g *Gate) confirmation(now time.Time, p *passthrough.Packet, flow *gateFlow) {
 	if !flow.synAckSeen && !g.target.Down() {
-		g.act(GateDeliver, ReasonUnknownFlow, p)
+		g.act(Deliver, passthrough.ReasonUnknownFlow, p)
 		return
 	}
 	if g.target.Down() || !p.Flags.Has(core.TCPAck) || p.Ack-flow.synAckSeq > confirmSpan {
 		entry, lookupCopy := flow.entry, flow.lookupCopy
 		g.remove(p.Key, flow)
-		g.returnPacket(entry, lookupCopy, p, ReasonNotHeld)
+		g.returnPacket(entry, lookupCopy, p, passthrough.ReasonNotHeld)
 		return
 	}
 	flow.stage = stageOpen
 	g.expected.confirmed(now, flow)
-	g.note(NoteHeld, ReasonOpened, p.Key, flow.entry)
+	g.note(passthrough.NoteHeld, passthrough.ReasonOpened, p.Key, flow.entry)
 	g.laterPacket(now, p, flow)
 }
 
 // laterPacket delivers a packet of a flow held here, or resets the flow if the
 // backend server has ended.
-func (g *Gate) laterPacket(now time.Time, p *Packet, flow *gateFlow) {
+func (g *Gate) laterPacket(now time.Time, p *passthrough.Packet, flow *gateFlow) {
 	if flow.lookupCopy && flow.stage == stageOpen {
-		g.note(NoteHeld, ReasonOpened, p.Key, flow.entry)
+		g.note(passthrough.NoteHeld, passthrough.ReasonOpened, p.Key, flow.entry)
 	}
 	if g.target.Down() && flow.stage == stageOpen {
 		g.flowLost(p, flow)
 		return
 	}
 	flow.callerAcked, flow.callerAck = p.Flags.Has(core.TCPAck), p.Ack
-	reason := ReasonCached
+	reason := passthrough.ReasonCached
 	if p.Length > 0 {
 		g.expectResponse(now)
 	}
@@ -46,7 +52,7 @@
 			g.health.lastProgress = now
 		}
 		g.running++
-		reason = ReasonRequest
+		reason = passthrough.ReasonRequest
 	}
 	if (p.Flags.Has(core.TCPFin) || p.Flags.Has(core.TCPRst)) && flow.awaitingAnswer && now.Sub(flow.requestStart) > g.health.stallTimeout() {
 		g.health.failure(now)
@@ -58,12 +64,12 @@
 	if p.Flags.Has(core.TCPRst) {
 		g.close(flow)
 	}
-	g.act(GateDeliver, reason, p)
+	g.act(Deliver, reason, p)
 }
 
 // carriesNewData reports whether a caller's packet carries data not seen before, and
 // records how far the data reaches. A repeated packet is no new request.
-func (f *gateFlow) carriesNewData(p *Packet) bool {
+func (f *gateFlow) carriesNewData(p *passthrough.Packet) bool {
 	if p.Length == 0 {
 		return false
 	}
@@ -85,27 +91,27 @@
 
 // ResetFlows resets the flows of a backend server that has ended, so that callers
 // don't wait for a timeout. The result is valid until the next call of a method.
-func (g *Gate) ResetFlows() []GateAction {
+func (g *Gate) ResetFlows() []Action {
 	g.out = g.out[:0]
 	if !g.target.Ended {
 		return g.out
 	}
 	for key, flow := range g.flows {
 		if flow.stage == stageOpen && flow.callerAcked && flow.lastSeen.Before(g.target.EndedAt) {
-			g.flowLost(&Packet{Key: key, Ack: flow.callerAck}, flow)
+			g.flowLost(&passthrough.Packet{Key: key, Ack: flow.callerAck}, flow)
 		}
 	}
 	return g.out
 }
 
 // flowLost ends a flow that the backend server no longer holds.
-func (g *Gate) flowLost(p *Packet, flow *gateFlow) {
+func (g *Gate) flowLost(p *passthrough.Packet, flow *gateFlow) {
 	entry := flow.entry
 	g.remove(p.Key, flow)
 	if p.Flags.Has(core.TCPRst) {
-		g.act(GateDrop, ReasonUnmatchedReset, p)
+		g.act(Drop, passthrough.ReasonUnmatchedReset, p)
 		return
 	}
-	g.out = append(g.out, GateAction{Kind: GateReset, Reason: ReasonFlowLost, Packet: p, ResetSeq: p.Ack})
-	g.note(NoteLost, ReasonFlowLost, p.Key, entry)
+	g.out = append(g.out, Action{Kind: Reset, Reason: passthrough.ReasonFlowLost, Packet: p, ResetSeq: p.Ack})
+	g.note(passthrough.NoteLost, passthrough.ReasonFlowLost, p.Key, entry)
 }
--- a/passthrough/gate.go
+++ b/passthrough/gate/gate.go
@@ -1,10 +1,13 @@
-package passthrough
+// Package gate decides for a companion what its backend server gets, and what entry
+// instances are told about it. It does no I/O and reads no clock.
+package gate
 
 import (
 	"net/netip"
 	"time"
 
 	"zinniapulley.dev/core"
+	"zinniapulley.dev/passthrough"
 	"zinniapulley.dev/route"
 )
 
@@ -34,8 +37,8 @@
 	defaultIdleRetention = 30 * time.Second
 )
 
-// GateConfig configures a Gate.
-type GateConfig struct {
+// Config configures a Gate.
+type Config struct {
 	DataCentre core.DataCentre
 	// AnnouncementLimit is the age of a backend server's last announcement beyond
 	// which it gets no new flows.
@@ -52,42 +55,42 @@
 	MaxFlowAge time.Duration
 }
 
-// GateKind is what a companion does with a packet.
-type GateKind uint8
+// Kind is what a companion does with a packet.
+type Kind uint8
 
 const (
-	// GateDeliver hands the packet to the backend server.
-	GateDeliver GateKind = iota + 1
-	// GateAnswer sends the backend server's packet to the caller.
-	GateAnswer
-	// GateRefuse returns an opening packet to the entry instance.
-	GateRefuse
-	// GateNotHeld returns a packet to the entry instance because the backend server
+	// Deliver hands the packet to the backend server.
+	Deliver Kind = iota + 1
+	// Answer sends the backend server's packet to the caller.
+	Answer
+	// Refuse returns an opening packet to the entry instance.
+	Refuse
+	// NotHeld returns a packet to the entry instance because the backend server
 	// doesn't hold the flow.
-	GateNotHeld
-	// GateReset answers the caller with a reset.
-	GateReset
-	// GateNote sends the entry instance a note about the flow.
-	GateNote
-	// GateSurveyAnswer tells the companion that conducts a survey that the flow isn't
+	NotHeld
+	// Reset answers the caller with a reset.
+	Reset
+	// SendNote sends the entry instance a note about the flow.
+	SendNote
+	// AnswerSurvey tells the companion that conducts a survey that the flow isn't
 	// held here.
-	GateSurveyAnswer
-	// GateDrop discards the packet.
-	GateDrop
+	AnswerSurvey
+	// Drop discards the packet.
+	Drop
 )
 
-// GateAction is one action on a packet.
-type GateAction struct {
-	Kind   GateKind
-	Reason Reason
-	// To is the entry instance of GateRefuse, GateNotHeld and GateNote, and the companion
-	// of GateSurveyAnswer.
+// Action is one action on a packet.
+type Action struct {
+	Kind   Kind
+	Reason passthrough.Reason
+	// To is the entry instance of Refuse, NotHeld and SendNote, and the companion
+	// of AnswerSurvey.
 	To     netip.AddrPort
-	Packet *Packet
+	Packet *passthrough.Packet
 	// ResetSeq is the sequence number of the reset.
 	ResetSeq uint32
-	Note     Note
-	// SurveyNumber is the number of the query of GateSurveyAnswer.
+	Note     passthrough.Note
+	// SurveyNumber is the number of the query of AnswerSurvey.
 	SurveyNumber uint32
 }
 
@@ -144,7 +147,7 @@
 
 // Gate decides for one companion. It must be used by one goroutine only.
 type Gate struct {
-	config  GateConfig
+	config  Config
 	table   *route.Table
 	started time.Time
 	target  Target
@@ -169,15 +172,15 @@
 	backInService time.Time
 	stopping      bool
 	lastSweep     time.Time
-	out           []GateAction
+	out           []Action
 	// Served, if set, is called with a flow and the time from its request to the
 	// beginning of the answer.
 	Served func(core.FlowKey, time.Duration)
 }
 
-// NewGate returns a Gate that admits nothing until it has a view and its backend
+// New returns a Gate that admits nothing until it has a view and its backend
 // server has announced itself.
-func NewGate(now time.Time, config GateConfig) *Gate {
+func New(now time.Time, config Config) *Gate {
 	return &Gate{config: config, started: now, flows: make(map[core.FlowKey]*gateFlow)}
 }
 
@@ -210,7 +213,7 @@
 // lookupCopy is set when other companions got a copy. version is the version of
 // the configuration in force at the entry instance. The result is valid until the
 // next call of a method.
-func (g *Gate) FromEntry(now time.Time, entry netip.AddrPort, lookupCopy bool, version uint64, p *Packet) []GateAction {
+func (g *Gate) FromEntry(now time.Time, entry netip.AddrPort, lookupCopy bool, version uint64, p *passthrough.Packet) []Action {
 	g.out = g.out[:0]
 	flow, known := g.flows[p.Key]
 	if known && flow.stage == stageNotHeld && p.Flags.Opens() {
@@ -226,7 +229,7 @@
 	case !known:
 		g.unknownFlow(now, entry, lookupCopy, p)
 	case flow.stage == stageNotHeld:
-		g.returnPacket(entry, lookupCopy, p, ReasonNotHeld)
+		g.returnPacket(entry, lookupCopy, p, passthrough.ReasonNotHeld)
 	case flow.stage == stageHalfOpen:
 		g.confirmation(now, p, flow)
 	default:
@@ -237,29 +240,29 @@
 
 // HandleQuery answers an entry instance that looks up a flow. The result is valid until
 // the next call of a method.
-func (g *Gate) HandleQuery(now time.Time, entry netip.AddrPort, key core.FlowKey) []GateAction {
+func (g *Gate) HandleQuery(now time.Time, entry netip.AddrPort, key core.FlowKey) []Action {
 	g.out = g.out[:0]
 	flow, known := g.flows[key]
 	switch {
 	case known && (flow.stage == stageOpen || flow.stage == stageClosed):
-		g.note(NoteHeld, ReasonOpened, key, entry)
+		g.note(passthrough.NoteHeld, passthrough.ReasonOpened, key, entry)
 	case known && flow.stage == stageNotHeld, !known && (g.tracksAllFlows(now) || !g.mayHold(key)):
-		g.note(NoteNotHeld, ReasonNotHeld, key, entry)
+		g.note(passthrough.NoteNotHeld, passthrough.ReasonNotHeld, key, entry)
 	default:
-		g.note(NoteUnsure, ReasonUnknownFlow, key, entry)
+		g.note(passthrough.NoteUnsure, passthrough.ReasonUnknownFlow, key, entry)
 	}
 	return g.out
 }
 
 // openingPacket decides about a packet that requests a new flow, or a copy of one.
-func (g *Gate) openingPacket(now time.Time, entry netip.AddrPort, version uint64, p *Packet, flow *gateFlow) {
+func (g *Gate) openingPacket(now time.Time, entry netip.AddrPort, version uint64, p *passthrough.Packet, flow *gateFlow) {
 	if flow != nil {
-		g.act(GateDeliver, ReasonAlreadyTried, p)
+		g.act(Deliver, passthrough.ReasonAlreadyTried, p)
 		return
 	}
 	reason := g.refusalReason(now, version, p)
-	if reason != ReasonNone {
-		g.out = append(g.out, GateAction{Kind: GateRefuse, Reason: reason, To: entry, Packet: p})
+	if reason != passthrough.ReasonNone {
+		g.out = append(g.out, Action{Kind: Refuse, Reason: reason, To: entry, Packet: p})
 		return
 	}
 	flow = &gateFlow{stage: stageHalfOpen, entry: entry, lastSeen: now}
@@ -271,26 +274,26 @@
 		g.openingUnanswered = now
 	}
 	g.expectResponse(now)
-	g.act(GateDeliver, ReasonAdmitted, p)
-	g.note(NoteAdmitted, ReasonAdmitted, p.Key, entry)
+	g.act(Deliver, passthrough.ReasonAdmitted, p)
+	g.note(passthrough.NoteAdmitted, passthrough.ReasonAdmitted, p.Key, entry)
 }
 
 // unknownFlow decides about a packet of a flow that isn't tracked here. It is
 // delivered only while the backend server may hold flows older than this Gate.
-func (g *Gate) unknownFlow(now time.Time, entry netip.AddrPort, lookupCopy bool, p *Packet) {
+func (g *Gate) unknownFlow(now time.Time, entry netip.AddrPort, lookupCopy bool, p *passthrough.Packet) {
 	if g.tracksAllFlows(now) || !g.mayHold(p.Key) {
-		g.returnPacket(entry, lookupCopy, p, ReasonNotHeld)
+		g.returnPacket(entry, lookupCopy, p, passthrough.ReasonNotHeld)
 		return
 	}
 	if lookupCopy && !g.target.Known {
 		// A server at this address may be about to start, or may serve another service:
 		// nothing is delivered before it has announced itself. The caller repeats the
 		// packet.
-		g.act(GateDrop, ReasonNoTarget, p)
+		g.act(Drop, passthrough.ReasonNoTarget, p)
 		return
 	}
 	g.flows[p.Key] = &gateFlow{stage: stageUnconfirmed, entry: entry, lookupCopy: lookupCopy, lastSeen: now}
-	g.act(GateDeliver, ReasonUnknownFlow, p)
+	g.act(Deliver, passthrough.ReasonUnknownFlow, p)
 }
 
 // tracksAllFlows reports whether every flow of the backend server is tracked here.
@@ -314,22 +317,22 @@
 
 // returnPacket returns a packet to the entry instance because the backend server
 // doesn't hold its flow. A lookup copy is only answered with a note.
-func (g *Gate) returnPacket(entry netip.AddrPort, lookupCopy bool, p *Packet, reason Reason) {
+func (g *Gate) returnPacket(entry netip.AddrPort, lookupCopy bool, p *passthrough.Packet, reason passthrough.Reason) {
 	if lookupCopy {
-		g.note(NoteNotHeld, reason, p.Key, entry)
+		g.note(passthrough.NoteNotHeld, reason, p.Key, entry)
 		return
 	}
-	g.out = append(g.out, GateAction{Kind: GateNotHeld, Reason: reason, To: entry, Packet: p})
+	g.out = append(g.out, Action{Kind: NotHeld, Reason: reason, To: entry, Packet: p})
 }
 
-func (g *Gate) act(kind GateKind, reason Reason, p *Packet) {
-	g.out = append(g.out, GateAction{Kind: kind, Reason: reason, Packet: p})
+func (g *Gate) act(kind Kind, reason passthrough.Reason, p *passthrough.Packet) {
+	g.out = append(g.out, Action{Kind: kind, Reason: reason, Packet: p})
 }
 
-func (g *Gate) note(kind NoteKind, reason Reason, key core.FlowKey, entry netip.AddrPort) {
+func (g *Gate) note(kind passthrough.NoteKind, reason passthrough.Reason, key core.FlowKey, entry netip.AddrPort) {
 	if !entry.IsValid() {
 		return
 	}
-	note := Note{Kind: kind, Key: key, Running: g.running, Flows: g.open}
-	g.out = append(g.out, GateAction{Kind: GateNote, Reason: reason, To: entry, Note: note})
+	note := passthrough.Note{Kind: kind, Key: key, Running: g.running, Flows: g.open}
+	g.out = append(g.out, Action{Kind: SendNote, Reason: reason, To: entry, Note: note})
 }
--- a/passthrough/health.go
+++ b/passthrough/gate/health.go
@@ -1,4 +1,4 @@
-package passthrough
+package gate
 
 import "time"
 
--- a/passthrough/pace.go
+++ b/passthrough/gate/pace.go
@@ -1,9 +1,9 @@
-package passthrough
+package gate
 
 import (
 	"time"
 
-	"zinniapulley.dev/route"
+	"zinniapulley.dev/passthrough"
 )
 
 const (
@@ -12,41 +12,11 @@
 	paceWeight = 0.05
 	// maxPaceInterval caps one interval.
 	maxPaceInterval = time.Second
-	// urgentPriority is the lowest priority whose requests are urgent.
-	urgentPriority = 1
-	// freeQueue is how many requests per slot, running or expected, are admitted
-	// regardless of their wait.
-	freeQueue = 2
 )
 
-// urgency orders opening packets by how much of a queue they may wait for.
-type urgency uint8
-
-const (
-	// urgencyRepeated: the caller has sent a copy of the packet. Its answer is late already,
-	// and it yields to those that aren't late.
-	urgencyRepeated urgency = iota
-	urgencyOrdinary
-	urgencyHigh
-	urgencyCount
-)
-
-// waitShares holds, for each urgency, the part of the time in which callers expect their
-// answer that requests may wait, so that urgent ones are still admitted when others
-// aren't.
-var waitShares = [urgencyCount]float64{urgencyRepeated: 0.2, urgencyOrdinary: 0.6, urgencyHigh: 0.9}
-
-// urgencyOf returns the urgency of an opening packet.
-func urgencyOf(p *Packet, r *route.Route) urgency {
-	switch {
-	case p.Ack > 0:
-		return urgencyRepeated
-	case r.Priority <= urgentPriority:
-		return urgencyHigh
-	default:
-		return urgencyOrdinary
-	}
-}
+// waitShares holds, for each urgency, the part of the time in which callers expect their answer
+// that requests may wait, so that urgent ones are still admitted when others aren't.
+var waitShares = [passthrough.UrgencyCount]float64{passthrough.UrgencyRepeated: 0.2, passthrough.UrgencyOrdinary: 0.6, passthrough.UrgencyHigh: 0.9}
 
 // pace measures how often a backend server with all slots taken answers.
 type pace struct {
@@ -90,16 +60,16 @@
 // answer would miss the route's objective. Refusing it is better than delaying all
 // requests behind it. While the pace is unknown, as after a start, nothing is
 // admitted beyond the free queue.
-func (g *Gate) busy(now time.Time, p *Packet) bool {
+func (g *Gate) busy(now time.Time, p *passthrough.Packet) bool {
 	g.expected.expire(now)
 	ahead := g.running + g.expected.count
-	if ahead < freeQueue*g.target.Slots {
+	if ahead < passthrough.FreeQueue*g.target.Slots {
 		return false
 	}
 	r := g.table.Route(p.Key.Service)
 	if r == nil || r.Objective <= 0 {
 		return false
 	}
-	allowed := waitShares[urgencyOf(p, r)] * float64(r.Objective)
+	allowed := waitShares[passthrough.UrgencyOf(p, r)] * float64(r.Objective)
 	return g.pace.interval == 0 || float64(ahead)*float64(g.pace.interval) > allowed
 }
--- a/passthrough/report.go
+++ b/passthrough/gate/report.go
@@ -1,21 +1,15 @@
-package passthrough
+package gate
 
 import (
-	"encoding/binary"
 	"maps"
 	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"zinniapulley.dev/passthrough"
 )
 
 const (
-	// reportInterval is the time between two reports to all entry instances, for each
-	// companionsPerInterval companions, while nothing that matters for their choice
-	// changes.
-	reportInterval        = 300 * time.Millisecond
-	companionsPerInterval = 170
 	// recentShare is the part of that time between two reports to entry instances that
 	// have just used the companion, and usedRecently how long they count as such.
 	recentShare  = 1. / 3
@@ -28,45 +22,9 @@
 	senderRetention = 15 * time.Second
 )
 
-// Load is a companion's short report to entry instances that have its full status.
-type Load struct {
-	// Digest identifies the full status that the load belongs to.
-	Digest uint32
-	// Running and Flows are as in Status.
-	Running, Flows int
-}
-
-// Digest identifies all of the status but the load.
-func (s *Status) Digest() uint32 {
-	var digest xxhash.Digest
-	digest.Reset()
-	for _, text := range []string{string(s.DataCentre), string(s.Service), s.Server} {
-		_, _ = digest.Write(binary.BigEndian.AppendUint32(nil, uint32(len(text))))
-		_, _ = digest.WriteString(text)
-	}
-	flags := byte(0)
-	for _, flag := range []bool{s.Ready, s.Departed, s.Cold, s.Failing} {
-		flags <<= 1
-		if flag {
-			flags |= 1
-		}
-	}
-	rest := binary.BigEndian.AppendUint64([]byte{flags}, uint64(s.Slots))
-	_, _ = digest.Write(binary.BigEndian.AppendUint64(rest, uint64(s.ReportInterval)))
-	return uint32(digest.Sum64())
-}
-
-// Load returns the short report of the status.
-func (s *Status) Load() Load {
-	return Load{Digest: s.Digest(), Running: s.Running, Flows: s.Flows}
-}
-
-// full reports whether the backend server refuses what waits longer than its free queue.
-func (s *Status) full() bool { return s.Running >= freeQueue*s.Slots }
-
 // Report is what a companion sends, and to which entry instances.
 type Report struct {
-	Status Status
+	Status passthrough.Status
 	// Full is set if the whole status is sent, not only its load.
 	Full bool
 	To   []netip.AddrPort
@@ -91,7 +49,7 @@
 	statusAt time.Time
 	// load is the last load that was sent to anybody, at loadAt. Its digest is that of the
 	// last full status.
-	load   Load
+	load   passthrough.Load
 	loadAt time.Time
 }
 
@@ -110,7 +68,7 @@
 
 // HandleRequest returns the report for an entry instance that requests the full status.
 // companions is how many companions there are.
-func (r *Reports) HandleRequest(now time.Time, entry netip.AddrPort, status Status, companions int) Report {
+func (r *Reports) HandleRequest(now time.Time, entry netip.AddrPort, status passthrough.Status, companions int) Report {
 	r.HandlePacket(now, entry, false)
 	status.ReportInterval = intervalFor(companions)
 	return Report{Status: status, Full: true, To: []netip.AddrPort{entry}}
@@ -118,18 +76,18 @@
 
 // Due returns the report that is due; its To is empty if none is. entries are the entry
 // instances that control lists, and companions is how many companions there are.
-func (r *Reports) Due(now time.Time, status Status, entries []netip.AddrPort, companions int) Report {
+func (r *Reports) Due(now time.Time, status passthrough.Status, entries []netip.AddrPort, companions int) Report {
 	status.ReportInterval = intervalFor(companions)
 	recentInterval := time.Duration(recentShare * float64(status.ReportInterval))
 	load := status.Load()
-	changed := load.Digest != r.load.Digest || status.full() != r.full || len(entries) != r.entries
+	changed := load.Digest != r.load.Digest || status.Full() != r.full || len(entries) != r.entries
 	whole := changed || now.Sub(r.statusAt) >= fullStatusInterval
 	switch {
 	case whole || now.Sub(r.sentAt) >= status.ReportInterval:
 		if whole {
 			r.statusAt = now
 		}
-		r.full, r.entries, r.sentAt = status.full(), len(entries), now
+		r.full, r.entries, r.sentAt = status.Full(), len(entries), now
 		r.load, r.loadAt = load, now
 		return Report{Status: status, Full: whole, To: r.all(now, entries)}
 	case load != r.load && now.Sub(r.loadAt) >= recentInterval:
@@ -142,7 +100,7 @@
 
 // intervalFor returns the time between two reports to all entry instances.
 func intervalFor(companions int) time.Duration {
-	return reportInterval * time.Duration(1+companions/companionsPerInterval)
+	return passthrough.ReportInterval * time.Duration(1+companions/passthrough.CompanionsPerInterval)
 }
 
 // all returns the listed entry instances and those that have sent something lately.
--- a/passthrough/gate_answer.go
+++ b/passthrough/gate/server.go
@@ -1,14 +1,15 @@
-package passthrough
+package gate
 
 import (
 	"time"
 
 	"zinniapulley.dev/core"
+	"zinniapulley.dev/passthrough"
 )
 
 // FromServer decides about a packet that the backend server sent. The result is
 // valid until the next call of a method.
-func (g *Gate) FromServer(now time.Time, p *Packet) []GateAction {
+func (g *Gate) FromServer(now time.Time, p *passthrough.Packet) []Action {
 	g.out = g.out[:0]
 	g.serverResponded()
 	flow, known := g.flows[p.Key]
@@ -19,7 +20,7 @@
 	if known && flow.resetsLookupCopy(p) {
 		entry := flow.entry
 		flow.stage, flow.lastSeen = stageNotHeld, now
-		g.returnPacket(entry, true, p, ReasonNotHeld)
+		g.returnPacket(entry, true, p, passthrough.ReasonNotHeld)
 		return g.out
 	}
 	if !known {
@@ -29,13 +30,13 @@
 	}
 	flow.lastSeen = now
 	g.trackServerPacket(now, p, flow)
-	g.act(GateAnswer, ReasonNone, p)
+	g.act(Answer, passthrough.ReasonNone, p)
 	return g.out
 }
 
 // resetsLookupCopy reports whether the backend server's reset is its response to a
 // lookup copy. It isn't sent to the caller, since another server may hold the flow.
-func (f *gateFlow) resetsLookupCopy(p *Packet) bool {
+func (f *gateFlow) resetsLookupCopy(p *passthrough.Packet) bool {
 	return f.lookupCopy && (f.stage == stageUnconfirmed || f.stage == stageNotHeld) && p.Flags.Has(core.TCPRst)
 }
 
@@ -47,7 +48,7 @@
 }
 
 // trackServerPacket updates the flow's state from a packet of the backend server.
-func (g *Gate) trackServerPacket(now time.Time, p *Packet, flow *gateFlow) {
+func (g *Gate) trackServerPacket(now time.Time, p *passthrough.Packet, flow *gateFlow) {
 	if p.Flags.Has(core.TCPSyn) && p.Flags.Has(core.TCPAck) {
 		flow.synAckSeen, flow.synAckSeq = true, p.Seq
 		return
@@ -55,7 +56,7 @@
 	if flow.stage == stageUnconfirmed || flow.stage == stageNotHeld {
 		flow.stage = stageOpen
 		g.open++
-		g.note(NoteHeld, ReasonOpened, p.Key, flow.entry)
+		g.note(passthrough.NoteHeld, passthrough.ReasonOpened, p.Key, flow.entry)
 	}
 	flow.serverSent = true
 	if p.Length > 0 && flow.awaitingAnswer {
@@ -74,7 +75,7 @@
 }
 
 // requestAnswered ends the request whose answer the packet begins.
-func (g *Gate) requestAnswered(now time.Time, p *Packet, flow *gateFlow) {
+func (g *Gate) requestAnswered(now time.Time, p *passthrough.Packet, flow *gateFlow) {
 	took := now.Sub(flow.requestStart)
 	g.health.lastProgress = now
 	if p.Failure {
@@ -90,24 +91,24 @@
 }
 
 // serverReturned decides about a caller's packet that the backend server returned.
-func (g *Gate) serverReturned(p *Packet, flow *gateFlow) {
+func (g *Gate) serverReturned(p *passthrough.Packet, flow *gateFlow) {
 	if flow == nil {
-		g.act(GateDrop, ReasonNotHeld, p)
+		g.act(Drop, passthrough.ReasonNotHeld, p)
 		return
 	}
 	entry, lookupCopy := flow.entry, flow.lookupCopy
 	switch {
 	case p.Flags.Opens():
 		g.remove(p.Key, flow)
-		g.out = append(g.out, GateAction{Kind: GateRefuse, Reason: ReasonServerRefused, To: entry, Packet: p})
+		g.out = append(g.out, Action{Kind: Refuse, Reason: passthrough.ReasonServerRefused, To: entry, Packet: p})
 	case flow.stage == stageOpen && flow.serverSent:
 		g.flowLost(p, flow)
 	case flow.stage == stageClosed:
-		g.act(GateDrop, ReasonFlowLost, p)
+		g.act(Drop, passthrough.ReasonFlowLost, p)
 	default:
 		g.close(flow)
 		flow.stage = stageNotHeld
-		g.returnPacket(entry, lookupCopy, p, ReasonNotHeld)
+		g.returnPacket(entry, lookupCopy, p, passthrough.ReasonNotHeld)
 	}
 }
 
@@ -142,7 +143,7 @@
 
 // Sweep removes flows without packets for longer than their retention.
 func (g *Gate) Sweep(now time.Time) {
-	if now.Sub(g.lastSweep) < sweepInterval {
+	if now.Sub(g.lastSweep) < passthrough.SweepInterval {
 		return
 	}
 	g.lastSweep = now
--- a/passthrough/target.go
+++ b/passthrough/gate/target.go
@@ -1,9 +1,10 @@
-package passthrough
+package gate
 
 import (
 	"time"
 
 	"zinniapulley.dev/core"
+	"zinniapulley.dev/passthrough"
 )
 
 // Announcement is a backend server's message about itself.
@@ -72,7 +73,7 @@
 const maxInitialNumber = 5
 
 // NewRegistration returns a Registration without a backend server, for a process
-// that began at the given time. limit is GateConfig.AnnouncementLimit.
+// that began at the given time. limit is Config.AnnouncementLimit.
 func NewRegistration(began time.Time, limit time.Duration) *Registration {
 	return &Registration{processStart: began, announcementLimit: limit}
 }
@@ -168,56 +169,56 @@
 
 // refusalReason returns why the flow of an opening packet can't start here,
 // ReasonNone if it can.
-func (g *Gate) refusalReason(now time.Time, version uint64, p *Packet) Reason {
+func (g *Gate) refusalReason(now time.Time, version uint64, p *passthrough.Packet) passthrough.Reason {
 	reason := g.notReadyReason(now)
-	if reason != ReasonNone {
+	if reason != passthrough.ReasonNone {
 		return reason
 	}
 	if !g.allows(version, p.Key) {
-		return ReasonNotAllowed
+		return passthrough.ReasonNotAllowed
 	}
 	service := g.table.Service(g.target.Service)
 	if service != nil && service.MaxConnections > 0 && g.open >= service.MaxConnections {
-		return ReasonConnectionLimit
+		return passthrough.ReasonConnectionLimit
 	}
 	if g.busy(now, p) {
-		return ReasonBusy
+		return passthrough.ReasonBusy
 	}
 	if g.unresponsive(now) {
 		if now.Sub(g.lastProbe) < probeInterval {
-			return ReasonUnresponsive
+			return passthrough.ReasonUnresponsive
 		}
 		g.lastProbe = now
 	}
 	if g.cold(now) && g.coldWindowFull(now) {
-		return ReasonColdLimit
+		return passthrough.ReasonColdLimit
 	}
 	if !g.health.allowFlow(now) {
-		return ReasonFailing
+		return passthrough.ReasonFailing
 	}
-	return ReasonNone
+	return passthrough.ReasonNone
 }
 
 // notReadyReason returns why no new flow of any route can start here, ReasonNone if
 // flows can start.
-func (g *Gate) notReadyReason(now time.Time) Reason {
+func (g *Gate) notReadyReason(now time.Time) passthrough.Reason {
 	switch {
 	case g.stopping:
-		return ReasonStopping
+		return passthrough.ReasonStopping
 	case g.table == nil:
-		return ReasonNoView
+		return passthrough.ReasonNoView
 	case !g.target.Known:
-		return ReasonNoTarget
+		return passthrough.ReasonNoTarget
 	case g.target.Down():
-		return ReasonServerDown
+		return passthrough.ReasonServerDown
 	case g.target.Draining:
-		return ReasonDraining
+		return passthrough.ReasonDraining
 	case g.table.DataCentreOut(g.config.DataCentre):
-		return ReasonDataCentreOut
+		return passthrough.ReasonDataCentreOut
 	case now.Sub(g.target.LastSeen) > g.config.AnnouncementLimit:
-		return ReasonStale
+		return passthrough.ReasonStale
 	default:
-		return ReasonNone
+		return passthrough.ReasonNone
 	}
 }
 
@@ -277,13 +278,13 @@
 }
 
 // Status returns the status that entry instances are sent.
-func (g *Gate) Status(now time.Time) Status {
-	ready := g.notReadyReason(now) == ReasonNone && !g.unresponsive(now)
+func (g *Gate) Status(now time.Time) passthrough.Status {
+	ready := g.notReadyReason(now) == passthrough.ReasonNone && !g.unresponsive(now)
 	cold := ready && g.cold(now)
 	if cold && g.coldWindowFull(now) {
 		ready = false
 	}
-	return Status{
+	return passthrough.Status{
 		DataCentre: g.config.DataCentre, Service: g.target.Service, Server: g.target.Server,
 		Ready: ready, Departed: g.noServer(now), Cold: cold, Failing: g.health.failing(now, g.running), Slots: g.target.Slots,
 		Running: g.running, Flows: g.open,
--- a/passthrough/gate_test.go
+++ b/passthrough/gate_test.go
@@ -7,41 +7,42 @@
 	"github.com/onsi/gomega"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/gate"
 )
 
 var entryAt = companionAt(200)
 
-func gateConfig() passthrough.GateConfig {
-	return passthrough.GateConfig{
+func gateConfig() gate.Config {
+	return gate.Config{
 		DataCentre: "north", AnnouncementLimit: 4 * time.Second, FirstAnnouncementLimit: 2 * time.Second, ColdFactor: 1.5, ColdSlack: 5, MaxFlowAge: time.Minute,
 	}
 }
 
-func announcement(number uint64) passthrough.Announcement {
-	return passthrough.Announcement{Server: "b1", Service: "feed", DataCentre: "north", Born: 100, Number: number, Slots: 2}
+func announcement(number uint64) gate.Announcement {
+	return gate.Announcement{Server: "b1", Service: "feed", DataCentre: "north", Born: 100, Number: number, Slots: 2}
 }
 
 // harness drives a Gate and its Registration.
 type harness struct {
 	t            *testing.T
 	g            *gomega.WithT
-	gate         *passthrough.Gate
-	registration *passthrough.Registration
+	gate         *gate.Gate
+	registration *gate.Registration
 	now          time.Time
 }
 
 // newHarness returns a harness whose backend server has announced itself.
 func newHarness(t *testing.T) *harness {
 	b := &harness{
-		t: t, g: gomega.NewWithT(t), gate: passthrough.NewGate(start, gateConfig()),
-		registration: passthrough.NewRegistration(start, gateConfig().AnnouncementLimit), now: start,
+		t: t, g: gomega.NewWithT(t), gate: gate.New(start, gateConfig()),
+		registration: gate.NewRegistration(start, gateConfig().AnnouncementLimit), now: start,
 	}
 	b.gate.SetTable(start, table(1))
 	b.announce(announcement(1))
 	return b
 }
 
-func (b *harness) announce(a passthrough.Announcement) bool {
+func (b *harness) announce(a gate.Announcement) bool {
 	target, recorded := b.registration.Announce(b.now, a)
 	if recorded {
 		b.gate.SetTarget(target)
@@ -51,11 +52,11 @@
 
 func (b *harness) advance(d time.Duration) { b.now = b.now.Add(d) }
 
-func (b *harness) send(p *passthrough.Packet) []passthrough.GateAction {
+func (b *harness) send(p *passthrough.Packet) []gate.Action {
 	return b.gate.FromEntry(b.now, entryAt, false, 1, p)
 }
 
-func (b *harness) expect(actions []passthrough.GateAction, kind passthrough.GateKind, reason passthrough.Reason) {
+func (b *harness) expect(actions []gate.Action, kind gate.Kind, reason passthrough.Reason) {
 	b.t.Helper()
 	b.g.Expect(actions).NotTo(gomega.BeEmpty())
 	b.g.Expect(actions[0].Kind).To(gomega.Equal(kind))
@@ -65,14 +66,14 @@
 // open opens a flow that the backend server answers with the sequence number.
 func (b *harness) open(port int, seq uint32) {
 	b.t.Helper()
-	b.expect(b.send(syn(port)), passthrough.GateDeliver, passthrough.ReasonAdmitted)
+	b.expect(b.send(syn(port)), gate.Deliver, passthrough.ReasonAdmitted)
 	b.gate.FromServer(b.now, &passthrough.Packet{Key: flowKey(port), Flags: core.TCPSyn | core.TCPAck, Seq: seq})
 	actions := b.send(&passthrough.Packet{Key: flowKey(port), Flags: core.TCPAck, Ack: seq + 1})
-	kinds := []passthrough.GateKind{}
+	kinds := []gate.Kind{}
 	for _, a := range actions {
 		kinds = append(kinds, a.Kind)
 	}
-	b.g.Expect(kinds).To(gomega.ConsistOf(passthrough.GateNote, passthrough.GateDeliver))
+	b.g.Expect(kinds).To(gomega.ConsistOf(gate.SendNote, gate.Deliver))
 }
 
 func TestGateRefusesNewFlowsButKeepsOpenOnes(t *testing.T) {
@@ -94,8 +95,8 @@
 			b := newHarness(t)
 			b.open(1, 5000)
 			c.change(b)
-			b.expect(b.send(syn(2)), passthrough.GateRefuse, c.reason)
-			b.expect(b.send(data(1, 5001)), passthrough.GateDeliver, passthrough.ReasonRequest)
+			b.expect(b.send(syn(2)), gate.Refuse, c.reason)
+			b.expect(b.send(data(1, 5001)), gate.Deliver, passthrough.ReasonRequest)
 		})
 	}
 }
@@ -105,17 +106,17 @@
 	a := announcement(2)
 	a.Service = "other"
 	b.announce(a)
-	b.expect(b.send(syn(1)), passthrough.GateRefuse, passthrough.ReasonNotAllowed)
+	b.expect(b.send(syn(1)), gate.Refuse, passthrough.ReasonNotAllowed)
 	// An entry instance with a newer configuration has checked the route already.
-	b.expect(b.gate.FromEntry(b.now, entryAt, false, 2, syn(1)), passthrough.GateDeliver, passthrough.ReasonAdmitted)
+	b.expect(b.gate.FromEntry(b.now, entryAt, false, 2, syn(1)), gate.Deliver, passthrough.ReasonAdmitted)
 }
 
 func TestGateAdmitsNothingBeforeViewAndAnnouncement(t *testing.T) {
 	g := gomega.NewWithT(t)
-	gate := passthrough.NewGate(start, gateConfig())
-	g.Expect(gate.FromEntry(start, entryAt, false, 1, syn(1))[0].Reason).To(gomega.Equal(passthrough.ReasonNoView))
-	gate.SetTable(start, table(1))
-	g.Expect(gate.FromEntry(start, entryAt, false, 1, syn(1))[0].Reason).To(gomega.Equal(passthrough.ReasonNoTarget))
+	tested := gate.New(start, gateConfig())
+	g.Expect(tested.FromEntry(start, entryAt, false, 1, syn(1))[0].Reason).To(gomega.Equal(passthrough.ReasonNoView))
+	tested.SetTable(start, table(1))
+	g.Expect(tested.FromEntry(start, entryAt, false, 1, syn(1))[0].Reason).To(gomega.Equal(passthrough.ReasonNoTarget))
 }
 
 func TestColdBackendServerStaysWithinItsBoundInEverySecond(t *testing.T) {
@@ -128,7 +129,7 @@
 		b.advance(10 * time.Millisecond)
 		a := announcement(uint64(port) + 3)
 		b.announce(a)
-		if b.send(syn(port))[0].Kind == passthrough.GateDeliver {
+		if b.send(syn(port))[0].Kind == gate.Deliver {
 			admitted = append(admitted, b.now)
 			b.gate.FromServer(b.now, &passthrough.Packet{Key: flowKey(port), Flags: core.TCPRst})
 		}
@@ -154,7 +155,7 @@
 	b.gate.SetTable(b.now, table(3))
 	admitted := 0
 	for port := range 50 {
-		if b.send(syn(port))[0].Kind == passthrough.GateDeliver {
+		if b.send(syn(port))[0].Kind == gate.Deliver {
 			admitted++
 			b.gate.FromServer(b.now, &passthrough.Packet{Key: flowKey(port), Flags: core.TCPRst})
 		}
@@ -164,10 +165,10 @@
 
 func TestConfirmationForAnotherBackendServerIsReturned(t *testing.T) {
 	b := newHarness(t)
-	b.expect(b.send(syn(1)), passthrough.GateDeliver, passthrough.ReasonAdmitted)
+	b.expect(b.send(syn(1)), gate.Deliver, passthrough.ReasonAdmitted)
 	b.gate.FromServer(b.now, &passthrough.Packet{Key: flowKey(1), Flags: core.TCPSyn | core.TCPAck, Seq: 5000})
 	// The caller acknowledges another backend server's SYN-ACK.
-	b.expect(b.send(data(1, 3_000_000_000)), passthrough.GateNotHeld, passthrough.ReasonNotHeld)
+	b.expect(b.send(data(1, 3_000_000_000)), gate.NotHeld, passthrough.ReasonNotHeld)
 }
 
 func TestFlowThatTheBackendServerLostIsReset(t *testing.T) {
@@ -177,7 +178,7 @@
 	returned := data(1, 5001)
 	returned.Returned = true
 	actions := b.gate.FromServer(b.now, returned)
-	b.expect(actions, passthrough.GateReset, passthrough.ReasonFlowLost)
+	b.expect(actions, gate.Reset, passthrough.ReasonFlowLost)
 	b.g.Expect(actions[0].ResetSeq).To(gomega.Equal(uint32(5001)))
 }
 
@@ -187,7 +188,7 @@
 	returned := syn(1)
 	returned.Returned = true
 	actions := b.gate.FromServer(b.now, returned)
-	b.expect(actions, passthrough.GateRefuse, passthrough.ReasonServerRefused)
+	b.expect(actions, gate.Refuse, passthrough.ReasonServerRefused)
 	b.g.Expect(actions[0].To).To(gomega.Equal(entryAt))
 }
 
@@ -195,16 +196,16 @@
 // packet of a flow that it doesn't hold is returned without a reset.
 func TestRestartedGateLetsItsBackendServerDecide(t *testing.T) {
 	b := newHarness(t)
-	b.expect(b.send(data(1, 5001)), passthrough.GateDeliver, passthrough.ReasonUnknownFlow)
+	b.expect(b.send(data(1, 5001)), gate.Deliver, passthrough.ReasonUnknownFlow)
 	b.gate.FromServer(b.now, &passthrough.Packet{Key: flowKey(1), Flags: core.TCPAck})
-	b.expect(b.send(data(1, 5002)), passthrough.GateDeliver, passthrough.ReasonRequest)
+	b.expect(b.send(data(1, 5002)), gate.Deliver, passthrough.ReasonRequest)
 
-	b.expect(b.send(data(2, 7001)), passthrough.GateDeliver, passthrough.ReasonUnknownFlow)
+	b.expect(b.send(data(2, 7001)), gate.Deliver, passthrough.ReasonUnknownFlow)
 	returned := data(2, 7001)
 	returned.Returned = true
-	b.expect(b.gate.FromServer(b.now, returned), passthrough.GateNotHeld, passthrough.ReasonNotHeld)
+	b.expect(b.gate.FromServer(b.now, returned), gate.NotHeld, passthrough.ReasonNotHeld)
 	// The backend server isn't sent packets of that flow again.
-	b.expect(b.send(data(2, 7001)), passthrough.GateNotHeld, passthrough.ReasonNotHeld)
+	b.expect(b.send(data(2, 7001)), gate.NotHeld, passthrough.ReasonNotHeld)
 	b.g.Expect(b.gate.HandleQuery(b.now, entryAt, flowKey(2))[0].Note.Kind).To(gomega.Equal(passthrough.NoteNotHeld))
 }
 
@@ -212,19 +213,19 @@
 	b := newHarness(t)
 	b.advance(2 * time.Minute)
 	actions := b.gate.FromEntry(b.now, entryAt, true, 1, data(1, 5001))
-	b.expect(actions, passthrough.GateNote, passthrough.ReasonNotHeld)
+	b.expect(actions, gate.SendNote, passthrough.ReasonNotHeld)
 	b.g.Expect(actions[0].Note.Kind).To(gomega.Equal(passthrough.NoteNotHeld))
 }
 
 func TestUnresponsiveBackendServerGetsNoNewFlows(t *testing.T) {
 	b := newHarness(t)
-	b.expect(b.send(syn(1)), passthrough.GateDeliver, passthrough.ReasonAdmitted)
+	b.expect(b.send(syn(1)), gate.Deliver, passthrough.ReasonAdmitted)
 	b.advance(300 * time.Millisecond)
 	b.send(syn(2))
-	b.expect(b.send(syn(3)), passthrough.GateRefuse, passthrough.ReasonUnresponsive)
+	b.expect(b.send(syn(3)), gate.Refuse, passthrough.ReasonUnresponsive)
 	b.g.Expect(b.gate.Status(b.now).Ready).To(gomega.BeFalse())
 	b.announce(announcement(2))
-	b.expect(b.send(syn(4)), passthrough.GateDeliver, passthrough.ReasonAdmitted)
+	b.expect(b.send(syn(4)), gate.Deliver, passthrough.ReasonAdmitted)
 }
 
 func TestAnnouncementsAreOrdered(t *testing.T) {
@@ -254,7 +255,7 @@
 
 func TestBusyBackendServerRefusesWhatItWouldAnswerTooLate(t *testing.T) {
 	b := newHarness(t)
-	b.announce(func() passthrough.Announcement { a := announcement(2); a.Slots = 1; return a }())
+	b.announce(func() gate.Announcement { a := announcement(2); a.Slots = 1; return a }())
 	// One slot that answers every 40 ms: the third request in the queue waits 120 ms.
 	for port := range 3 {
 		b.open(port, 5000)
@@ -269,7 +270,7 @@
 		next.Seq += uint32(next.Length)
 		b.send(next)
 	}
-	b.expect(b.send(syn(9)), passthrough.GateRefuse, passthrough.ReasonBusy)
+	b.expect(b.send(syn(9)), gate.Refuse, passthrough.ReasonBusy)
 }
 
 // After an outage of every machine, all callers reached the first backend server
@@ -280,7 +281,7 @@
 	b.announce(announcement(2))
 	admitted := 0
 	for port := range 10 * slots {
-		if b.send(syn(port))[0].Kind == passthrough.GateDeliver {
+		if b.send(syn(port))[0].Kind == gate.Deliver {
 			admitted++
 		}
 	}
@@ -289,7 +290,7 @@
 		b.gate.FromServer(b.now, &passthrough.Packet{Key: flowKey(port), Flags: core.TCPSyn | core.TCPAck, Seq: 5000})
 		b.send(&passthrough.Packet{Key: flowKey(port), Flags: core.TCPRst, Ack: 5001})
 	}
-	b.expect(b.send(syn(999)), passthrough.GateDeliver, passthrough.ReasonAdmitted)
+	b.expect(b.send(syn(999)), gate.Deliver, passthrough.ReasonAdmitted)
 }
 
 // A packet that a caller repeated was counted as another request, which then waited
@@ -297,14 +298,14 @@
 func TestRepeatedPacketIsNoNewRequest(t *testing.T) {
 	b := newHarness(t)
 	b.open(1, 5000)
-	b.expect(b.send(data(1, 5001)), passthrough.GateDeliver, passthrough.ReasonRequest)
+	b.expect(b.send(data(1, 5001)), gate.Deliver, passthrough.ReasonRequest)
 	b.gate.FromServer(b.now, &passthrough.Packet{Key: flowKey(1), Flags: core.TCPAck, Seq: 5001, Length: 100})
 	b.g.Expect(b.gate.Running()).To(gomega.BeZero())
-	b.expect(b.send(data(1, 5001)), passthrough.GateDeliver, passthrough.ReasonCached)
+	b.expect(b.send(data(1, 5001)), gate.Deliver, passthrough.ReasonCached)
 	b.g.Expect(b.gate.Running()).To(gomega.BeZero())
 	next := data(1, 5101)
 	next.Seq += uint32(next.Length)
-	b.expect(b.send(next), passthrough.GateDeliver, passthrough.ReasonRequest)
+	b.expect(b.send(next), gate.Deliver, passthrough.ReasonRequest)
 }
 
 // After a full restart every companion delivered packets of every flow that was
@@ -323,9 +324,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newHarness(t)
-			b.gate = passthrough.NewGate(start, gateConfig())
+			b.gate = gate.New(start, gateConfig())
 			b.gate.SetTable(start, table(1))
-			b.registration = passthrough.NewRegistration(start, gateConfig().AnnouncementLimit)
+			b.registration = gate.NewRegistration(start, gateConfig().AnnouncementLimit)
 			a := announcement(c.number)
 			a.Born = c.born.UnixMilli()
 			b.announce(a)
@@ -338,15 +339,15 @@
 // NoteUnsure, which kept entry instances from resetting any flow.
 func TestCompanionWithoutABackendServerHasNoFlows(t *testing.T) {
 	g := gomega.NewWithT(t)
-	gate := passthrough.NewGate(start, gateConfig())
-	gate.SetTable(start, table(1))
+	tested := gate.New(start, gateConfig())
+	tested.SetTable(start, table(1))
 	kind := func(after time.Duration) passthrough.NoteKind {
-		return gate.HandleQuery(start.Add(after), entryAt, flowKey(1))[0].Note.Kind
+		return tested.HandleQuery(start.Add(after), entryAt, flowKey(1))[0].Note.Kind
 	}
 	g.Expect(kind(time.Second)).To(gomega.Equal(passthrough.NoteUnsure))
-	g.Expect(gate.Status(start.Add(time.Second)).Departed).To(gomega.BeFalse())
+	g.Expect(tested.Status(start.Add(time.Second)).Departed).To(gomega.BeFalse())
 	g.Expect(kind(3 * time.Second)).To(gomega.Equal(passthrough.NoteNotHeld))
-	g.Expect(gate.Status(start.Add(3 * time.Second)).Departed).To(gomega.BeTrue())
+	g.Expect(tested.Status(start.Add(3 * time.Second)).Departed).To(gomega.BeTrue())
 }
 
 // A lookup copy reached a companion whose backend server was about to start. The
@@ -354,32 +355,32 @@
 // pinhal-balance and deksel-net-grown).
 func TestBackendServersResetOfALookupCopyIsNotSentToTheCaller(t *testing.T) {
 	g := gomega.NewWithT(t)
-	gate := passthrough.NewGate(start, gateConfig())
-	gate.SetTable(start, table(1))
-	actions := gate.FromEntry(start, entryAt, true, 1, data(1, 5001))
+	tested := gate.New(start, gateConfig())
+	tested.SetTable(start, table(1))
+	actions := tested.FromEntry(start, entryAt, true, 1, data(1, 5001))
 	g.Expect(actions).To(gomega.HaveLen(1))
-	g.Expect(actions[0].Kind).To(gomega.Equal(passthrough.GateDrop), "it hasn't announced itself")
+	g.Expect(actions[0].Kind).To(gomega.Equal(gate.Drop), "it hasn't announced itself")
 
-	registration := passthrough.NewRegistration(start.Add(time.Hour), gateConfig().AnnouncementLimit)
+	registration := gate.NewRegistration(start.Add(time.Hour), gateConfig().AnnouncementLimit)
 	target, _ := registration.Announce(start, announcement(9))
-	gate.SetTarget(target)
-	g.Expect(gate.FromEntry(start, entryAt, true, 1, data(1, 5001))[0].Kind).To(gomega.Equal(passthrough.GateDeliver))
-	actions = gate.FromServer(start, &passthrough.Packet{Key: flowKey(1), Flags: core.TCPRst})
+	tested.SetTarget(target)
+	g.Expect(tested.FromEntry(start, entryAt, true, 1, data(1, 5001))[0].Kind).To(gomega.Equal(gate.Deliver))
+	actions = tested.FromServer(start, &passthrough.Packet{Key: flowKey(1), Flags: core.TCPRst})
 	g.Expect(actions).To(gomega.HaveLen(1))
-	g.Expect(actions[0].Kind).To(gomega.Equal(passthrough.GateNote))
+	g.Expect(actions[0].Kind).To(gomega.Equal(gate.SendNote))
 	g.Expect(actions[0].Note.Kind).To(gomega.Equal(passthrough.NoteNotHeld))
 }
 
 func BenchmarkDeliver(b *testing.B) {
-	gate := passthrough.NewGate(start, gateConfig())
-	gate.SetTable(start, table(1))
-	target, _ := passthrough.NewRegistration(start, gateConfig().AnnouncementLimit).Announce(start, announcement(1))
-	gate.SetTarget(target)
-	gate.FromEntry(start, entryAt, false, 1, syn(1))
-	gate.FromServer(start, &passthrough.Packet{Key: flowKey(1), Flags: core.TCPSyn | core.TCPAck, Seq: 5000})
+	tested := gate.New(start, gateConfig())
+	tested.SetTable(start, table(1))
+	target, _ := gate.NewRegistration(start, gateConfig().AnnouncementLimit).Announce(start, announcement(1))
+	tested.SetTarget(target)
+	tested.FromEntry(start, entryAt, false, 1, syn(1))
+	tested.FromServer(start, &passthrough.Packet{Key: flowKey(1), Flags: core.TCPSyn | core.TCPAck, Seq: 5000})
 	p := data(1, 5001)
 	b.ReportAllocs()
 	for b.Loop() {
-		gate.FromEntry(start, entryAt, false, 1, p)
+		tested.FromEntry(start, entryAt, false, 1, p)
 	}
 }
--- a/passthrough/health_test.go
+++ b/passthrough/health_test.go
@@ -7,6 +7,8 @@
 	"github.com/onsi/gomega"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/dispatch"
+	"zinniapulley.dev/passthrough/gate"
 )
 
 // request opens a flow and sends a request on it.
@@ -51,7 +53,7 @@
 			b.announce(announcement(3))
 			b.g.Expect(b.failing()).To(gomega.BeFalse())
 			b.request(10)
-			b.expect(b.send(syn(11)), passthrough.GateRefuse, passthrough.ReasonFailing)
+			b.expect(b.send(syn(11)), gate.Refuse, passthrough.ReasonFailing)
 			b.answer(10, end)
 			b.abort(10)
 			b.g.Expect(b.failing()).To(gomega.BeTrue(), "for twice as long")
@@ -65,8 +67,8 @@
 				b.answer(port, passthrough.Packet{Length: 100})
 				b.abort(port)
 			}
-			b.expect(b.send(syn(30)), passthrough.GateDeliver, passthrough.ReasonAdmitted)
-			b.expect(b.send(syn(31)), passthrough.GateDeliver, passthrough.ReasonAdmitted)
+			b.expect(b.send(syn(30)), gate.Deliver, passthrough.ReasonAdmitted)
+			b.expect(b.send(syn(31)), gate.Deliver, passthrough.ReasonAdmitted)
 		})
 	}
 }
@@ -116,12 +118,12 @@
 		d.HandleStatus(start, busy)
 	}
 	for port := range 20 {
-		g.Expect(targets(d.Handle(start, syn(port)), passthrough.DispatchForward)).NotTo(gomega.ContainElement(companionAt(1)))
+		g.Expect(targets(d.Handle(start, syn(port)), dispatch.Forward)).NotTo(gomega.ContainElement(companionAt(1)))
 	}
 	for i := 2; i <= 3; i++ {
 		worse := statusOf(i)
 		worse.Failing, worse.Running = true, 1000
 		d.HandleStatus(start, worse)
 	}
-	g.Expect(targets(d.Handle(start, syn(99)), passthrough.DispatchForward)).To(gomega.ConsistOf(companionAt(1)), "when all fail")
+	g.Expect(targets(d.Handle(start, syn(99)), dispatch.Forward)).To(gomega.ConsistOf(companionAt(1)), "when all fail")
 }
--- a/passthrough/model_test.go
+++ b/passthrough/model_test.go
@@ -10,6 +10,8 @@
 	"pgregory.net/rapid"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/dispatch"
+	"zinniapulley.dev/passthrough/gate"
 	"zinniapulley.dev/route"
 )
 
@@ -19,7 +21,7 @@
 	t          *rapid.T
 	random     *rand.Rand
 	now        time.Time
-	entries    []*passthrough.Dispatcher
+	entries    []*dispatch.Dispatcher
 	companions []*modelCompanion
 	revision   core.Revision
 	out        []core.DataCentre
@@ -38,9 +40,9 @@
 
 // modelCompanion is a companion with its backend server.
 type modelCompanion struct {
-	gate         *passthrough.Gate
-	surveys      *passthrough.Surveys
-	registration *passthrough.Registration
+	gate         *gate.Gate
+	surveys      *gate.Surveys
+	registration *gate.Registration
 	// flows holds the backend server's flows, half-open ones included, and its first
 	// sequence number of each.
 	flows    map[core.FlowKey]uint32
@@ -57,7 +59,7 @@
 	seed := rapid.Uint64().Draw(t, "seed")
 	m := &model{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: start, open: map[core.FlowKey]modelOwner{}, revision: 1, lossy: lossy}
 	for range rapid.SampledFrom([]int{4, 24}).Draw(t, "companions") {
-		m.companions = append(m.companions, &modelCompanion{surveys: passthrough.NewSurveys()})
+		m.companions = append(m.companions, &modelCompanion{surveys: gate.NewSurveys()})
 	}
 	for i := range m.companions {
 		m.startServer(i)
@@ -80,7 +82,7 @@
 }
 
 func (m *model) startEntry(i int) {
-	m.entries[i] = passthrough.NewDispatcher(m.now, "north")
+	m.entries[i] = dispatch.New(m.now, "north")
 	m.entries[i].SetTable(m.table())
 }
 
@@ -88,9 +90,9 @@
 	c := m.companions[i]
 	config := gateConfig()
 	config.DataCentre = m.dataCentre(i)
-	c.gate = passthrough.NewGate(m.now, config)
+	c.gate = gate.New(m.now, config)
 	c.gate.SetTable(m.now, m.table())
-	c.registration = passthrough.NewRegistration(m.now, config.AnnouncementLimit)
+	c.registration = gate.NewRegistration(m.now, config.AnnouncementLimit)
 	m.announce(i)
 }
 
@@ -149,7 +151,7 @@
 		return
 	}
 	c.number++
-	target, recorded := c.registration.Announce(m.now, passthrough.Announcement{
+	target, recorded := c.registration.Announce(m.now, gate.Announcement{
 		Server: fmt.Sprintf("b%d-%d", i, c.start), Service: "feed", Born: int64(c.start), Number: c.number, Slots: 50, Draining: c.draining,
 	})
 	if recorded {
@@ -187,25 +189,25 @@
 	m.dispatch(entry, m.entries[entry].Handle(m.now, p), 0)
 }
 
-func (m *model) dispatch(entry int, actions []passthrough.Dispatch, depth int) {
+func (m *model) dispatch(entry int, actions []dispatch.Action, depth int) {
 	if depth > 40 {
 		m.t.Fatal("a packet is forwarded in a loop")
 	}
-	for _, a := range append([]passthrough.Dispatch(nil), actions...) {
+	for _, a := range append([]dispatch.Action(nil), actions...) {
 		switch a.Kind {
-		case passthrough.DispatchForward, passthrough.DispatchLookup:
+		case dispatch.Forward, dispatch.Lookup:
 			if !m.messageLost() {
 				i := int(a.To.Addr().As4()[3])
-				m.gate(entry, i, m.companions[i].gate.FromEntry(m.now, entryName(entry), a.Kind == passthrough.DispatchLookup, uint64(m.revision), a.Packet), depth)
+				m.gate(entry, i, m.companions[i].gate.FromEntry(m.now, entryName(entry), a.Kind == dispatch.Lookup, uint64(m.revision), a.Packet), depth)
 			}
-		case passthrough.DispatchQuery:
+		case dispatch.Query:
 			if !m.messageLost() {
 				i := int(a.To.Addr().As4()[3])
 				m.gate(entry, i, m.companions[i].gate.HandleQuery(m.now, entryName(entry), a.Packet.Key), depth+1)
 			}
-		case passthrough.DispatchSurvey:
+		case dispatch.Survey:
 			m.survey(entry, int(a.To.Addr().As4()[3]), a.Survey, depth)
-		case passthrough.DispatchReset:
+		case dispatch.Reset:
 			m.reset(a.Packet.Key, a.ResetSeq)
 		}
 	}
@@ -224,10 +226,10 @@
 		if m.messageLost() {
 			continue
 		}
-		actions := append([]passthrough.GateAction(nil), m.companions[i].gate.HandleSurveyQuery(m.now, companionAt(conductor), query)...)
+		actions := append([]gate.Action(nil), m.companions[i].gate.HandleSurveyQuery(m.now, companionAt(conductor), query)...)
 		for _, a := range actions {
-			if a.Kind != passthrough.GateSurveyAnswer {
-				m.gate(entry, i, []passthrough.GateAction{a}, depth+1)
+			if a.Kind != gate.AnswerSurvey {
+				m.gate(entry, i, []gate.Action{a}, depth+1)
 				continue
 			}
 			finished, done := surveys.NotHeld(companionAt(i), a.SurveyNumber)
@@ -245,20 +247,20 @@
 
 func entryName(i int) netip.AddrPort { return companionAt(100 + i) }
 
-func (m *model) gate(entry, companion int, actions []passthrough.GateAction, depth int) {
-	for _, a := range append([]passthrough.GateAction(nil), actions...) {
+func (m *model) gate(entry, companion int, actions []gate.Action, depth int) {
+	for _, a := range append([]gate.Action(nil), actions...) {
 		switch a.Kind {
-		case passthrough.GateDeliver:
+		case gate.Deliver:
 			m.deliver(entry, companion, a.Packet, depth)
-		case passthrough.GateRefuse:
+		case gate.Refuse:
 			m.dispatch(entry, m.entries[entry].HandleRefused(m.now, companionAt(companion), a.Reason, a.Packet), depth+1)
-		case passthrough.GateNotHeld:
+		case gate.NotHeld:
 			m.dispatch(entry, m.entries[entry].HandleNotHeld(m.now, companionAt(companion), a.Packet), depth+1)
-		case passthrough.GateNote:
+		case gate.SendNote:
 			if !m.messageLost() {
 				m.dispatch(entry, m.entries[entry].HandleNote(m.now, companionAt(companion), a.Note), depth+1)
 			}
-		case passthrough.GateReset:
+		case gate.Reset:
 			m.reset(a.Packet.Key, a.ResetSeq)
 		}
 	}
--- a/passthrough/pace_test.go
+++ b/passthrough/pace_test.go
@@ -7,6 +7,7 @@
 	"github.com/onsi/gomega"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/gate"
 	"zinniapulley.dev/route"
 )
 
@@ -21,7 +22,7 @@
 // it and closes the flow.
 func (b *harness) exchange(port int) {
 	b.t.Helper()
-	b.expect(b.send(syn(port)), passthrough.GateDeliver, passthrough.ReasonAdmitted)
+	b.expect(b.send(syn(port)), gate.Deliver, passthrough.ReasonAdmitted)
 	b.synAck(port)
 	b.advance(roundTrip)
 	b.send(&passthrough.Packet{Key: flowKey(port), Flags: core.TCPAck, Ack: 5001})
@@ -49,7 +50,7 @@
 func (b *harness) admittedOf(first, count int) int {
 	admitted := 0
 	for port := first; port < first+count; port++ {
-		if b.send(syn(port))[0].Kind == passthrough.GateDeliver {
+		if b.send(syn(port))[0].Kind == gate.Deliver {
 			admitted++
 		}
 	}
--- a/passthrough/packet.go
+++ b/passthrough/packet.go
@@ -1,7 +1,7 @@
-// Package passthrough decides about packets of flows that end at the callers and
-// the backend servers, not in this system: an entry instance's Dispatcher picks
-// the companion for each packet, a companion's Gate decides what its backend
-// server gets.
+// Package passthrough holds the types shared by the two sides that decide about packets
+// of flows that end at the callers and the backend servers, not in this system: an entry
+// instance's Dispatcher (package dispatch) picks the companion for each packet, a
+// companion's Gate (package gate) decides what its backend server gets.
 //
 // Every packet for a backend server passes the Gate beside it. The Gate enforces,
 // from local state alone, the rules that must hold without exception: whether the
@@ -10,7 +10,7 @@
 // right. It caches the companion of each flow; a flow that isn't in the cache is
 // looked up at all companions that may hold it.
 //
-// The package does no I/O and reads no clock.
+// The packages do no I/O and read no clock.
 package passthrough
 
 import (
@@ -36,8 +36,8 @@
 	Data []byte
 }
 
-// clone returns a copy that shares no memory with the packet.
-func (p *Packet) clone() Packet {
+// Clone returns a copy that shares no memory with the packet.
+func (p *Packet) Clone() Packet {
 	c := *p
 	c.Data = slices.Clone(p.Data)
 	return c
@@ -156,10 +156,5 @@
 	Running, Flows int
 }
 
-// confirmSpan is how far a caller's confirmation may be ahead of the sequence
-// number with which the backend server answered: the SYN-ACK counts as one, and
-// nothing follows it before the confirmation.
-const confirmSpan = 1
-
-// sweepInterval is the time between two removals of expired flows.
-const sweepInterval = time.Second
+// SweepInterval is the time between two removals of expired flows.
+const SweepInterval = time.Second
--- a/passthrough/report_test.go
+++ b/passthrough/report_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/onsi/gomega"
 	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/dispatch"
+	"zinniapulley.dev/passthrough/gate"
 	"zinniapulley.dev/route"
 )
 
@@ -36,7 +38,7 @@
 	all := entries(instances)
 	received := 0
 	for _, uses := range []bool{false, true} {
-		reports, status, sent := passthrough.NewReports(), statusOf(1), 0
+		reports, status, sent := gate.NewReports(), statusOf(1), 0
 		for i := range seconds * int(time.Second/tick) {
 			now := start.Add(time.Duration(i) * tick)
 			if uses {
@@ -88,7 +90,7 @@
 	for name, change := range changes {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			reports, all := passthrough.NewReports(), entries(500)
+			reports, all := gate.NewReports(), entries(500)
 			status := statusOf(1)
 			reports.Due(start, status, all, 136)
 			g.Expect(reports.Due(start.Add(tick), status, all, 136).To).To(gomega.BeEmpty())
@@ -104,7 +106,7 @@
 // control doesn't list yet gets reports too.
 func TestEntryInstancesInUseGetEveryChange(t *testing.T) {
 	g := gomega.NewWithT(t)
-	reports, all := passthrough.NewReports(), entries(500)
+	reports, all := gate.NewReports(), entries(500)
 	status := statusOf(1)
 	reports.Due(start, status, all, 136)
 	reports.HandlePacket(start, all[7], true)
@@ -125,11 +127,11 @@
 	g.Expect(d.HandleLoad(start, companionAt(1), status.Load())).To(gomega.BeEmpty())
 	status.Ready = false
 	request := d.HandleLoad(start, companionAt(1), status.Load())
-	g.Expect(targets(request, passthrough.DispatchStatusRequest)).To(gomega.ConsistOf(companionAt(1)))
+	g.Expect(targets(request, dispatch.RequestStatus)).To(gomega.ConsistOf(companionAt(1)))
 	d.HandleStatus(start, status)
 	g.Expect(d.HandleLoad(start, companionAt(1), status.Load())).To(gomega.BeEmpty())
 	unknown := d.HandleLoad(start, companionAt(9), status.Load())
-	g.Expect(targets(unknown, passthrough.DispatchStatusRequest)).To(gomega.ConsistOf(companionAt(9)))
+	g.Expect(targets(unknown, dispatch.RequestStatus)).To(gomega.ConsistOf(companionAt(9)))
 }
 
 // Among thousands of companions the reports of one are seconds apart. One that has just
@@ -138,7 +140,7 @@
 	g := gomega.NewWithT(t)
 	view := *table(1).View
 	view.Companions = []route.Companion{{Address: companionAt(1)}, {Address: companionAt(2)}}
-	d := passthrough.NewDispatcher(start.Add(-time.Hour), "north")
+	d := dispatch.New(start.Add(-time.Hour), "north")
 	d.SetTable(route.Compile(&view))
 	d.HandleStatus(start.Add(3*time.Second), statusOf(1))
 	starting := passthrough.Status{Companion: companionAt(2), DataCentre: "north", ReportInterval: 6 * time.Second}
@@ -146,8 +148,8 @@
 	later := start.Add(3 * time.Second)
 	d.Handle(later, data(1, 5001))
 	denied := passthrough.Note{Kind: passthrough.NoteNotHeld, Key: flowKey(1)}
-	g.Expect(targets(d.HandleNote(later, companionAt(1), denied), passthrough.DispatchReset)).To(gomega.BeEmpty())
+	g.Expect(targets(d.HandleNote(later, companionAt(1), denied), dispatch.Reset)).To(gomega.BeEmpty())
 	late := start.Add(20 * time.Second)
 	d.Handle(late, data(1, 5001))
-	g.Expect(targets(d.HandleNote(late, companionAt(1), denied), passthrough.DispatchReset)).To(gomega.HaveLen(1), "it has departed by then")
+	g.Expect(targets(d.HandleNote(late, companionAt(1), denied), dispatch.Reset)).To(gomega.HaveLen(1), "it has departed by then")
 }
--- a/passthrough/survey_test.go
+++ b/passthrough/survey_test.go
@@ -9,12 +9,14 @@
 	"github.com/onsi/gomega"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/dispatch"
+	"zinniapulley.dev/passthrough/gate"
 )
 
 // fleet returns a Dispatcher with the statuses of so many companions, spread over data
 // centres.
-func fleet(companions, dataCentres int) *passthrough.Dispatcher {
-	d := passthrough.NewDispatcher(start.Add(-time.Hour), "dc0")
+func fleet(companions, dataCentres int) *dispatch.Dispatcher {
+	d := dispatch.New(start.Add(-time.Hour), "dc0")
 	d.SetTable(table(1))
 	for i := range companions {
 		d.HandleStatus(start, fleetStatus(i, dataCentres))
@@ -33,15 +35,15 @@
 
 // deny has the companions, and those queried after them, deny that they hold flow 1,
 // until other actions follow. It returns these and how many companions denied it.
-func deny(d *passthrough.Dispatcher, now time.Time, queried []netip.AddrPort) ([]passthrough.Dispatch, int) {
+func deny(d *dispatch.Dispatcher, now time.Time, queried []netip.AddrPort) ([]dispatch.Action, int) {
 	denied := 0
-	var others []passthrough.Dispatch
+	var others []dispatch.Action
 	for len(queried) > 0 {
 		actions := d.HandleNote(now, queried[0], passthrough.Note{Kind: passthrough.NoteNotHeld, Key: flowKey(1)})
 		denied++
-		queried = append(append([]netip.AddrPort{}, queried[1:]...), targets(actions, passthrough.DispatchQuery)...)
+		queried = append(append([]netip.AddrPort{}, queried[1:]...), targets(actions, dispatch.Query)...)
 		for _, a := range actions {
-			if a.Kind != passthrough.DispatchQuery {
+			if a.Kind != dispatch.Query {
 				others = append(others, a)
 			}
 		}
@@ -59,21 +61,21 @@
 
 // lookUpAll looks up a flow that no companion holds until it is reset, and returns the
 // bytes that the entry instance sends and receives for it.
-func lookUpAll(g *gomega.WithT, d *passthrough.Dispatcher, port int) int {
+func lookUpAll(g *gomega.WithT, d *dispatch.Dispatcher, port int) int {
 	bytes, reset := 0, false
-	pending := append([]passthrough.Dispatch{}, d.Handle(start, data(port, 5001))...)
+	pending := append([]dispatch.Action{}, d.Handle(start, data(port, 5001))...)
 	for len(pending) > 0 {
 		a := pending[0]
 		pending = pending[1:]
-		var next []passthrough.Dispatch
+		var next []dispatch.Action
 		switch a.Kind {
-		case passthrough.DispatchQuery:
+		case dispatch.Query:
 			bytes += queryBytes + noteBytes
 			next = d.HandleNote(start, a.To, passthrough.Note{Kind: passthrough.NoteNotHeld, Key: flowKey(port)})
-		case passthrough.DispatchSurvey:
+		case dispatch.Survey:
 			bytes += 2*surveyHeaderBytes + addressBytes*len(a.Survey.Ask)
 			next = d.HandleSurveyResult(start, a.To, passthrough.SurveyResult{Number: a.Survey.Number, Key: a.Survey.Key})
-		case passthrough.DispatchReset:
+		case dispatch.Reset:
 			reset = true
 		}
 		pending = append(pending, next...)
@@ -103,17 +105,17 @@
 func TestMissingAnswersAreRequestedDirectly(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := fleet(40, 1)
-	surveys, _ := deny(d, start, targets(d.Handle(start, data(1, 5001)), passthrough.DispatchQuery))
+	surveys, _ := deny(d, start, targets(d.Handle(start, data(1, 5001)), dispatch.Query))
 	survey := surveys[0].Survey
 	missing := survey.Ask[3]
 	answered := append(append([]netip.AddrPort{}, survey.Ask[:3]...), survey.Ask[4:]...)
 	partial := passthrough.SurveyResult{Number: survey.Number, Key: survey.Key, NotHeld: answered}
 	g.Expect(d.HandleSurveyResult(start, surveys[0].To, partial)).To(gomega.BeEmpty())
 	later := start.Add(200 * time.Millisecond)
-	g.Expect(targets(d.Continue(later), passthrough.DispatchQuery)).To(gomega.ConsistOf(missing))
+	g.Expect(targets(d.Continue(later), dispatch.Query)).To(gomega.ConsistOf(missing))
 	actions := d.HandleNote(later, missing, passthrough.Note{Kind: passthrough.NoteNotHeld, Key: flowKey(1)})
 	g.Expect(actions).To(gomega.HaveLen(1))
-	g.Expect(actions[0].Kind).To(gomega.Equal(passthrough.DispatchReset))
+	g.Expect(actions[0].Kind).To(gomega.Equal(dispatch.Reset))
 }
 
 // A companion that conducts a survey may be paused before it sends the result. The flow
@@ -121,8 +123,8 @@
 func TestResultOfAnEarlierLookupIsIgnored(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := fleet(40, 1)
-	survey := func(now time.Time) passthrough.Dispatch {
-		surveys, _ := deny(d, now, targets(d.Handle(now, data(1, 5001)), passthrough.DispatchQuery))
+	survey := func(now time.Time) dispatch.Action {
+		surveys, _ := deny(d, now, targets(d.Handle(now, data(1, 5001)), dispatch.Query))
 		g.Expect(surveys).To(gomega.HaveLen(1))
 		return surveys[0]
 	}
@@ -139,7 +141,7 @@
 // that does tells the entry instance.
 func TestHolderOfAFlowAnswersTheEntryInstance(t *testing.T) {
 	g := gomega.NewWithT(t)
-	surveys, conductor := passthrough.NewSurveys(), companionAt(9)
+	surveys, conductor := gate.NewSurveys(), companionAt(9)
 	holder, other := newHarness(t), newHarness(t)
 	holder.open(1, 5000)
 	for _, b := range []*harness{holder, other} {
@@ -156,12 +158,12 @@
 	g.Expect(held[0].Note.Kind).To(gomega.Equal(passthrough.NoteHeld))
 	notHeld := other.gate.HandleSurveyQuery(start, conductor, query)
 	g.Expect(notHeld).To(gomega.HaveLen(1))
-	g.Expect(notHeld[0].Kind).To(gomega.Equal(passthrough.GateSurveyAnswer))
+	g.Expect(notHeld[0].Kind).To(gomega.Equal(gate.AnswerSurvey))
 	g.Expect(notHeld[0].To).To(gomega.Equal(conductor))
 	_, done := surveys.NotHeld(companionAt(2), notHeld[0].SurveyNumber)
 	g.Expect(done).To(gomega.BeFalse(), "one answer is missing")
 	g.Expect(surveys.Expire(start)).To(gomega.BeEmpty())
-	g.Expect(surveys.Expire(start.Add(time.Second))).To(gomega.ConsistOf(passthrough.FinishedSurvey{
+	g.Expect(surveys.Expire(start.Add(time.Second))).To(gomega.ConsistOf(gate.FinishedSurvey{
 		Entry: entryAt, Result: passthrough.SurveyResult{Number: 4, Key: flowKey(2), NotHeld: []netip.AddrPort{companionAt(2)}},
 	}))
 }
@@ -208,13 +210,13 @@
 }
 
 // lookupBytes returns the bytes of the messages among the actions.
-func lookupBytes(actions []passthrough.Dispatch) int {
+func lookupBytes(actions []dispatch.Action) int {
 	bytes := 0
 	for _, a := range actions {
 		switch a.Kind {
-		case passthrough.DispatchQuery:
+		case dispatch.Query:
 			bytes += queryBytes
-		case passthrough.DispatchSurvey:
+		case dispatch.Survey:
 			bytes += surveyHeaderBytes + addressBytes*len(a.Survey.Ask)
 		}
 	}
@@ -229,18 +231,18 @@
 	g := gomega.NewWithT(t)
 	d := fleet(109, 6)
 	asked := map[netip.AddrPort]bool{}
-	answer := func(now time.Time, actions []passthrough.Dispatch) {
-		for _, at := range targets(actions, passthrough.DispatchQuery) {
+	answer := func(now time.Time, actions []dispatch.Action) {
+		for _, at := range targets(actions, dispatch.Query) {
 			asked[at] = true
 			d.HandleNote(now, at, passthrough.Note{Kind: passthrough.NoteUnsure, Key: flowKey(1)})
 		}
 	}
-	answer(start, append([]passthrough.Dispatch{}, d.Handle(start, data(1, 5001))...))
+	answer(start, append([]dispatch.Action{}, d.Handle(start, data(1, 5001))...))
 	for at := start; at.Before(start.Add(250 * time.Millisecond)); at = at.Add(50 * time.Millisecond) {
-		actions := append([]passthrough.Dispatch{}, d.Continue(at)...)
-		g.Expect(targets(actions, passthrough.DispatchSurvey)).To(gomega.BeEmpty())
+		actions := append([]dispatch.Action{}, d.Continue(at)...)
+		g.Expect(targets(actions, dispatch.Survey)).To(gomega.BeEmpty())
 		answer(at, actions)
 	}
 	g.Expect(len(asked)).To(gomega.BeNumerically("<=", 12))
-	g.Expect(targets(d.Continue(start.Add(400*time.Millisecond)), passthrough.DispatchSurvey)).NotTo(gomega.BeEmpty())
+	g.Expect(targets(d.Continue(start.Add(400*time.Millisecond)), dispatch.Survey)).NotTo(gomega.BeEmpty())
 }
--- a/passthrough/waiting_test.go
+++ b/passthrough/waiting_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/dispatch"
 	"zinniapulley.dev/route"
 )
 
@@ -14,13 +15,13 @@
 // their packets, and they lost the time until their next copies.
 func TestStartingEntryInstanceKeepsOpeningPackets(t *testing.T) {
 	g := gomega.NewWithT(t)
-	d := passthrough.NewDispatcher(start, "north")
+	d := dispatch.New(start, "north")
 	waits := func(at time.Time, port int) {
 		actions := d.Handle(at, syn(port))
 		g.Expect(actions).To(gomega.HaveLen(1))
-		g.Expect(actions[0].Kind).To(gomega.Equal(passthrough.DispatchWait))
+		g.Expect(actions[0].Kind).To(gomega.Equal(dispatch.Wait))
 		for _, a := range d.Continue(at) {
-			g.Expect(a.Kind).To(gomega.Equal(passthrough.DispatchWait))
+			g.Expect(a.Kind).To(gomega.Equal(dispatch.Wait))
 		}
 	}
 	waits(start, 1)
@@ -28,7 +29,7 @@
 	waits(start.Add(100*time.Millisecond), 2)
 	later := start.Add(200 * time.Millisecond)
 	d.HandleStatus(later, statusOf(1))
-	g.Expect(targets(d.Continue(later), passthrough.DispatchForward)).To(gomega.HaveLen(2))
+	g.Expect(targets(d.Continue(later), dispatch.Forward)).To(gomega.HaveLen(2))
 	g.Expect(d.Continue(later.Add(50 * time.Millisecond))).To(gomega.BeEmpty())
 }
 
@@ -40,25 +41,25 @@
 	for i := range 8 {
 		view.Companions = append(view.Companions, route.Companion{Address: companionAt(1 + i)})
 	}
-	d := passthrough.NewDispatcher(start, "north")
+	d := dispatch.New(start, "north")
 	d.SetTable(route.Compile(&view))
-	g.Expect(targets(d.Continue(start), passthrough.DispatchStatusRequest)).To(gomega.HaveLen(8))
+	g.Expect(targets(d.Continue(start), dispatch.RequestStatus)).To(gomega.HaveLen(8))
 	d.HandleStatus(start, statusOf(1))
-	g.Expect(d.Handle(start, syn(1))[0].Kind).To(gomega.Equal(passthrough.DispatchWait))
+	g.Expect(d.Handle(start, syn(1))[0].Kind).To(gomega.Equal(dispatch.Wait))
 	for i := 2; i <= 6; i++ {
 		d.HandleStatus(start, statusOf(i))
 	}
-	g.Expect(targets(d.Continue(start), passthrough.DispatchForward)).To(gomega.HaveLen(1))
+	g.Expect(targets(d.Continue(start), dispatch.Forward)).To(gomega.HaveLen(1))
 }
 
 // A packet that has waited for too long is dropped: its caller has sent another copy.
 func TestOpeningPacketWaitsForALimitedTime(t *testing.T) {
 	g := gomega.NewWithT(t)
-	d := passthrough.NewDispatcher(start, "north")
+	d := dispatch.New(start, "north")
 	d.Handle(start, syn(1))
 	d.SetTable(table(1))
 	d.HandleStatus(start.Add(time.Second), statusOf(1))
-	g.Expect(targets(d.Continue(start.Add(time.Second)), passthrough.DispatchForward)).To(gomega.BeEmpty())
+	g.Expect(targets(d.Continue(start.Add(time.Second)), dispatch.Forward)).To(gomega.BeEmpty())
 }
 
 // A flow refused only because its answer would come too late is tried again, also with
@@ -70,12 +71,12 @@
 		p := syn(1)
 		p.Ack = number
 		at := start.Add(time.Duration(number) * 300 * time.Millisecond)
-		g.Expect(targets(d.Handle(at, p), passthrough.DispatchForward)).To(gomega.HaveLen(1))
+		g.Expect(targets(d.Handle(at, p), dispatch.Forward)).To(gomega.HaveLen(1))
 		actions := d.HandleRefused(at, companionAt(1), passthrough.ReasonBusy, p)
 		g.Expect(actions).To(gomega.HaveLen(1))
-		wanted := passthrough.DispatchWait
+		wanted := dispatch.Wait
 		if number == 2 {
-			wanted = passthrough.DispatchReset
+			wanted = dispatch.Reset
 		}
 		g.Expect(actions[0].Kind).To(gomega.Equal(wanted))
 	}
@@ -89,7 +90,7 @@
 	d.HandleRefused(start, companionAt(1), passthrough.ReasonBusy, syn(1))
 	tries := 0
 	for at := start; at.Before(start.Add(3 * time.Second)); at = at.Add(50 * time.Millisecond) {
-		for range targets(d.Continue(at), passthrough.DispatchForward) {
+		for range targets(d.Continue(at), dispatch.Forward) {
 			tries++
 			d.HandleRefused(at, companionAt(1), passthrough.ReasonBusy, syn(1))
 		}
--- a/roles/companion/companion.go
+++ b/roles/companion/companion.go
@@ -16,7 +16,7 @@
 	"zinniapulley.dev/asynclog"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/loop"
-	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/gate"
 	"zinniapulley.dev/roles/feed"
 	"zinniapulley.dev/roles/traffic"
 	"zinniapulley.dev/route"
@@ -60,7 +60,7 @@
 	// Seeds returns the control instances that the settings currently name, at least
 	// one.
 	Seeds   func() []netip.AddrPort
-	Gate    passthrough.GateConfig
+	Gate    gate.Config
 	Codec   traffic.Codec
 	Log     *slog.Logger
 	Metrics metrics.Registry
@@ -80,7 +80,7 @@
 // state is the control state that the packet path uses. It is immutable.
 type state struct {
 	table   *route.Table
-	target  passthrough.Target
+	target  gate.Target
 	entries []netip.AddrPort
 }
 
@@ -112,7 +112,7 @@
 
 // Announce records an announcement of the backend server. The packet path uses it once
 // Announce has returned without an error.
-func (c *Companion) Announce(ctx context.Context, a passthrough.Announcement) error {
+func (c *Companion) Announce(ctx context.Context, a gate.Announcement) error {
 	return c.call(ctx, "announce", func(reply loop.Reply[error]) event { return announced{a: a, reply: reply} })
 }
 
@@ -142,7 +142,7 @@
 			})
 		},
 		Control: func(ctx context.Context) {
-			c.loop.Run(ctx, &control{companion: c, controls: c.config.Seeds(), registration: passthrough.NewRegistration(processStart, c.config.Gate.AnnouncementLimit)})
+			c.loop.Run(ctx, &control{companion: c, controls: c.config.Seeds(), registration: gate.NewRegistration(processStart, c.config.Gate.AnnouncementLimit)})
 		},
 		Packets: func(ctx context.Context) { traffic.Run(ctx, newPacketPath(c), tickInterval, c.peers, c.outbound) },
 		OnShutdown: func() {
--- a/roles/companion/control.go
+++ b/roles/companion/control.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"zinniapulley.dev/loop"
-	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/gate"
 	"zinniapulley.dev/roles/feed"
 	"zinniapulley.dev/roles/traffic"
 	"zinniapulley.dev/route"
@@ -20,7 +20,7 @@
 // control owns the control state of a companion.
 type control struct {
 	companion    *Companion
-	registration *passthrough.Registration
+	registration *gate.Registration
 	controls     []netip.AddrPort
 	heartbeatDue time.Time
 	// probeDue is when the next probe is due while no backend server is registered.
@@ -126,7 +126,7 @@
 
 // announced is an announcement of the backend server.
 type announced struct {
-	a     passthrough.Announcement
+	a     gate.Announcement
 	reply loop.Reply[error]
 }
 
--- a/roles/companion/owner.go
+++ b/roles/companion/owner.go
@@ -9,6 +9,7 @@
 	"zinniapulley.dev/asynclog"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/gate"
 	"zinniapulley.dev/roles/traffic"
 	"zinniapulley.dev/wire/hop"
 )
@@ -36,7 +37,7 @@
 // the state for them.
 type packetPath struct {
 	companion     *Companion
-	gate          *passthrough.Gate
+	gate          *gate.Gate
 	state         *state
 	log           *slog.Logger
 	admittedLimit asynclog.Limit
@@ -47,8 +48,8 @@
 	requests map[core.FlowKey]string
 	now      time.Time
 	buffer   []byte
-	reports  *passthrough.Reports
-	surveys  *passthrough.Surveys
+	reports  *gate.Reports
+	surveys  *gate.Surveys
 	// failing is whether requests failed or stalled at the last tick.
 	failing bool
 	meter   *traffic.Meter
@@ -58,7 +59,7 @@
 	registry := c.config.Metrics
 	path := &packetPath{
 		companion:     c,
-		gate:          passthrough.NewGate(time.Now(), c.config.Gate),
+		gate:          gate.New(time.Now(), c.config.Gate),
 		state:         c.state.Load(),
 		log:           c.lines.Logger(),
 		admittedLimit: asynclog.Limit{PerSecond: admittedLinesPerSecond},
@@ -66,8 +67,8 @@
 		requestLimit:  asynclog.Limit{PerSecond: requestLinesPerSecond},
 		lateLimit:     asynclog.Limit{PerSecond: lateLinesPerSecond},
 		requests:      make(map[core.FlowKey]string),
-		reports:       passthrough.NewReports(),
-		surveys:       passthrough.NewSurveys(),
+		reports:       gate.NewReports(),
+		surveys:       gate.NewSurveys(),
 		meter:         traffic.NewMeter(registry),
 	}
 	served := metrics.GetOrRegisterHistogram("requests.microseconds", registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
@@ -183,7 +184,7 @@
 	return status
 }
 
-func (path *packetPath) sendReport(r passthrough.Report) {
+func (path *packetPath) sendReport(r gate.Report) {
 	if len(r.To) == 0 {
 		return
 	}
@@ -210,34 +211,34 @@
 }
 
 // execute carries out the actions of the gate.
-func (path *packetPath) execute(now time.Time, actions []passthrough.GateAction) {
+func (path *packetPath) execute(now time.Time, actions []gate.Action) {
 	codec := path.companion.config.Codec
 	for i := range actions {
 		a := &actions[i]
 		path.meter.CountDecision(a.Reason)
 		switch a.Kind {
-		case passthrough.GateDeliver:
+		case gate.Deliver:
 			path.sendOutbound(a.Packet.Data, path.companion.config.Server)
-		case passthrough.GateAnswer:
+		case gate.Answer:
 			path.sendOutbound(a.Packet.Data, codec.Caller(a.Packet.Key))
-		case passthrough.GateReset:
+		case gate.Reset:
 			path.sendOutbound(codec.Reset(a.Packet.Key, a.ResetSeq), codec.Caller(a.Packet.Key))
-		case passthrough.GateRefuse:
+		case gate.Refuse:
 			path.returnPacket(hop.KindRefused, a)
-		case passthrough.GateNotHeld:
+		case gate.NotHeld:
 			path.returnPacket(hop.KindNotHeld, a)
-		case passthrough.GateNote:
+		case gate.SendNote:
 			path.sendNote(a)
-		case passthrough.GateSurveyAnswer:
+		case gate.AnswerSurvey:
 			path.meter.Send(path.companion.peers, hop.EncodeSurveyAnswer(a.SurveyNumber), a.To)
-		case passthrough.GateDrop:
+		case gate.Drop:
 		}
 		path.logAction(now, a)
 	}
 }
 
 // requestBegan records the identity of a request for later log lines about its flow.
-func (path *packetPath) requestBegan(now time.Time, a *passthrough.GateAction) {
+func (path *packetPath) requestBegan(now time.Time, a *gate.Action) {
 	request := path.companion.config.Codec.Request(a.Packet.Data)
 	if len(path.requests) >= maxRequests {
 		clear(path.requests)
@@ -269,12 +270,12 @@
 	}
 }
 
-func (path *packetPath) returnPacket(kind hop.Kind, a *passthrough.GateAction) {
+func (path *packetPath) returnPacket(kind hop.Kind, a *gate.Action) {
 	path.buffer = hop.AppendEnvelope(path.buffer[:0], hop.Envelope{Kind: kind, Reason: a.Reason, Version: path.gate.Version(), Packet: a.Packet.Data})
 	path.sendToEntry(path.buffer, a.To)
 }
 
-func (path *packetPath) sendNote(a *passthrough.GateAction) {
+func (path *packetPath) sendNote(a *gate.Action) {
 	datagram, err := hop.EncodeNote(a.Note)
 	if err != nil {
 		path.log.Error("note not encoded", "flow", a.Note.Key, "error", err)
@@ -292,21 +293,21 @@
 }
 
 // logAction logs delivered requests, admitted flows and packets that weren't delivered.
-func (path *packetPath) logAction(now time.Time, a *passthrough.GateAction) {
+func (path *packetPath) logAction(now time.Time, a *gate.Action) {
 	switch {
-	case a.Kind == passthrough.GateDeliver && a.Reason == passthrough.ReasonRequest:
+	case a.Kind == gate.Deliver && a.Reason == passthrough.ReasonRequest:
 		path.requestBegan(now, a)
-	case a.Kind == passthrough.GateNote && a.Note.Kind == passthrough.NoteAdmitted:
+	case a.Kind == gate.SendNote && a.Note.Kind == passthrough.NoteAdmitted:
 		leftOut, ok := path.admittedLimit.Allow(now)
 		if ok {
 			path.log.Info("flow admitted", "flow", a.Note.Key, "entry", a.To, "server", path.state.target.Server, "running", a.Note.Running,
 				"flows", a.Note.Flows, "announcementAge", now.Sub(path.state.target.LastSeen), "version", path.gate.Version(), "linesLeftOut", leftOut)
 		}
-	case a.Kind == passthrough.GateRefuse || a.Kind == passthrough.GateNotHeld || a.Kind == passthrough.GateReset:
+	case a.Kind == gate.Refuse || a.Kind == gate.NotHeld || a.Kind == gate.Reset:
 		leftOut, ok := path.failedLimit.Allow(now)
 		if ok {
 			path.log.Warn("packet not delivered", "flow", a.Packet.Key, "request", path.requests[a.Packet.Key], "flags", a.Packet.Flags, "entry", a.To,
-				"reset", a.Kind == passthrough.GateReset, "reason", a.Reason, "server", path.state.target.Server,
+				"reset", a.Kind == gate.Reset, "reason", a.Reason, "server", path.state.target.Server,
 				"announcementAge", now.Sub(path.state.target.LastSeen), "version", path.gate.Version(), "linesLeftOut", leftOut)
 		}
 	}
--- a/roles/companion/survey.go
+++ b/roles/companion/survey.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/gate"
 	"zinniapulley.dev/roles/traffic"
 	"zinniapulley.dev/wire/hop"
 )
@@ -46,7 +46,7 @@
 	return nil
 }
 
-func (path *packetPath) sendResult(finished passthrough.FinishedSurvey) {
+func (path *packetPath) sendResult(finished gate.FinishedSurvey) {
 	datagram, err := hop.EncodeSurveyResult(finished.Result)
 	if err != nil {
 		path.log.Error("result of a survey not encoded", "flow", finished.Result.Key, "error", err)
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 	"zinniapulley.dev/asynclog"
 	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/dispatch"
 	"zinniapulley.dev/roles/traffic"
 	"zinniapulley.dev/wire/hop"
 )
@@ -24,7 +25,7 @@
 // packetPath handles datagrams of callers and companions, and owns the state for them.
 type packetPath struct {
 	entry       *Entry
-	dispatcher  *passthrough.Dispatcher
+	dispatcher  *dispatch.Dispatcher
 	log         *slog.Logger
 	routedLimit asynclog.Limit
 	failedLimit asynclog.Limit
@@ -35,7 +36,7 @@
 func newPacketPath(e *Entry) *packetPath {
 	path := &packetPath{
 		entry:       e,
-		dispatcher:  passthrough.NewDispatcher(time.Now(), e.config.DataCentre),
+		dispatcher:  dispatch.New(time.Now(), e.config.DataCentre),
 		log:         e.lines.Logger(),
 		routedLimit: asynclog.Limit{PerSecond: routedLinesPerSecond},
 		failedLimit: asynclog.Limit{PerSecond: failedLinesPerSecond},
@@ -134,36 +135,36 @@
 }
 
 // execute carries out the actions of the dispatcher.
-func (path *packetPath) execute(now time.Time, actions []passthrough.Dispatch) {
+func (path *packetPath) execute(now time.Time, actions []dispatch.Action) {
 	for i := range actions {
 		a := &actions[i]
 		path.meter.CountDecision(a.Reason)
 		switch a.Kind {
-		case passthrough.DispatchForward:
+		case dispatch.Forward:
 			path.send(hop.KindForward, a)
-		case passthrough.DispatchLookup:
+		case dispatch.Lookup:
 			path.send(hop.KindLookup, a)
-		case passthrough.DispatchQuery:
+		case dispatch.Query:
 			path.sendQuery(a)
-		case passthrough.DispatchSurvey:
+		case dispatch.Survey:
 			path.sendSurvey(a)
-		case passthrough.DispatchStatusRequest:
+		case dispatch.RequestStatus:
 			path.meter.Send(path.entry.peers, hop.EncodeStatusRequest(), a.To)
-		case passthrough.DispatchReset:
+		case dispatch.Reset:
 			path.reset(a)
-		case passthrough.DispatchDrop, passthrough.DispatchWait:
+		case dispatch.Drop, dispatch.Wait:
 		}
 		path.logAction(now, a)
 	}
 }
 
-func (path *packetPath) send(kind hop.Kind, a *passthrough.Dispatch) {
+func (path *packetPath) send(kind hop.Kind, a *dispatch.Action) {
 	envelope := hop.Envelope{Kind: kind, Reason: a.Reason, Version: path.dispatcher.Version(), Packet: a.Packet.Data}
 	path.buffer = hop.AppendEnvelope(path.buffer[:0], envelope)
 	path.meter.Send(path.entry.peers, path.buffer, a.To)
 }
 
-func (path *packetPath) sendQuery(a *passthrough.Dispatch) {
+func (path *packetPath) sendQuery(a *dispatch.Action) {
 	datagram, err := hop.EncodeQuery(a.Packet.Key)
 	if err != nil {
 		path.log.Error("query not encoded", "flow", a.Packet.Key, "error", err)
@@ -172,7 +173,7 @@
 	path.meter.Send(path.entry.peers, datagram, a.To)
 }
 
-func (path *packetPath) sendSurvey(a *passthrough.Dispatch) {
+func (path *packetPath) sendSurvey(a *dispatch.Action) {
 	datagram, err := hop.EncodeSurvey(a.Survey)
 	if err != nil {
 		path.log.Error("survey not encoded", "flow", a.Survey.Key, "error", err)
@@ -181,26 +182,26 @@
 	path.meter.Send(path.entry.peers, datagram, a.To)
 }
 
-func (path *packetPath) reset(a *passthrough.Dispatch) {
+func (path *packetPath) reset(a *dispatch.Action) {
 	codec := path.entry.config.Codec
 	path.meter.Send(path.entry.callers, codec.Reset(a.Packet.Key, a.ResetSeq), codec.Caller(a.Packet.Key))
 }
 
 // logAction logs the companion chosen for a new flow, and packets that aren't
 // forwarded.
-func (path *packetPath) logAction(now time.Time, a *passthrough.Dispatch) {
+func (path *packetPath) logAction(now time.Time, a *dispatch.Action) {
 	switch {
-	case a.Kind == passthrough.DispatchForward && a.Reason == passthrough.ReasonChosen:
+	case a.Kind == dispatch.Forward && a.Reason == passthrough.ReasonChosen:
 		leftOut, ok := path.routedLimit.Allow(now)
 		if ok {
 			path.log.Info("flow routed", "flow", a.Packet.Key, "companion", a.To, "service", a.Status.Service, "server", a.Status.Server,
 				"running", a.Status.Running, "flows", a.Status.Flows, "slots", a.Status.Slots, "statusAge", a.Age,
 				"version", path.dispatcher.Version(), "reason", a.Reason, "linesLeftOut", leftOut)
 		}
-	case a.Kind == passthrough.DispatchReset || a.Kind == passthrough.DispatchDrop || a.Kind == passthrough.DispatchWait:
+	case a.Kind == dispatch.Reset || a.Kind == dispatch.Drop || a.Kind == dispatch.Wait:
 		leftOut, ok := path.failedLimit.Allow(now)
 		if ok {
-			path.log.Warn("packet not forwarded", "flow", a.Packet.Key, "flags", a.Packet.Flags, "reset", a.Kind == passthrough.DispatchReset, "waits", a.Kind == passthrough.DispatchWait,
+			path.log.Warn("packet not forwarded", "flow", a.Packet.Key, "flags", a.Packet.Flags, "reset", a.Kind == dispatch.Reset, "waits", a.Kind == dispatch.Wait,
 				"version", path.dispatcher.Version(), "companions", path.dispatcher.Companions(), "reason", a.Reason, "linesLeftOut", leftOut)
 		}
 	}
--- a/roles/systemtest/system_test.go
+++ b/roles/systemtest/system_test.go
@@ -11,7 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/durable"
-	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/gate"
 	"zinniapulley.dev/platform"
 	"zinniapulley.dev/roles/companion"
 	"zinniapulley.dev/roles/control"
@@ -183,7 +183,7 @@
 		Instance: core.InstanceID("companion" + string('1'+i)), DataCentre: core.DataCentre(dataCentre(i)),
 		Packets: at(groupCompanion, i+1, callerPort), Outbound: at(groupCompanion, i+1, outboundPort), Server: at(groupCompanion, i+1, serverPort), Health: at(groupCompanion, i+1, serverPort),
 		Seeds: s.seedAddresses, Codec: platform.Datagrams{CallerPort: callerPort}, Log: discardLog, Metrics: metrics.NewRegistry(),
-		Gate: passthrough.GateConfig{DataCentre: core.DataCentre(dataCentre(i)), AnnouncementLimit: time.Hour, FirstAnnouncementLimit: time.Hour, ColdFactor: 1.5, ColdSlack: 5, MaxFlowAge: time.Minute},
+		Gate: gate.Config{DataCentre: core.DataCentre(dataCentre(i)), AnnouncementLimit: time.Hour, FirstAnnouncementLimit: time.Hour, ColdFactor: 1.5, ColdSlack: 5, MaxFlowAge: time.Minute},
 	})
 	return run(s.t, built, err)
 }
@@ -192,7 +192,7 @@
 func (s *system) announceAll(draining map[int]bool) {
 	s.number++
 	for i, c := range s.companions {
-		err := c.role.Announce(context.Background(), passthrough.Announcement{
+		err := c.role.Announce(context.Background(), gate.Announcement{
 			Server: s.servers[i].Name, Service: "feed", DataCentre: core.DataCentre(dataCentre(byte(i))),
 			Born: 1, Number: s.number, Slots: 100, Draining: draining[i],
 		})
@@ -350,7 +350,7 @@
 func TestLostFlowIsResetAmongManyCompanions(t *testing.T) {
 	s := startReachable(t, 30, 10)
 	for i, c := range s.companions {
-		s.g.Expect(c.role.Announce(context.Background(), passthrough.Announcement{
+		s.g.Expect(c.role.Announce(context.Background(), gate.Announcement{
 			Server: s.servers[i].Name, Service: "feed", DataCentre: core.DataCentre(dataCentre(byte(i))),
 			Born: time.Now().UnixMilli(), Number: 1, Slots: 100,
 		})).To(gomega.Succeed())
@@ -375,7 +375,7 @@
 		server.Close()
 		s.servers[i] = startServer(t, byte(i))
 		s.companions[i] = s.startCompanion(byte(i))
-		s.g.Expect(s.companions[i].role.Announce(context.Background(), passthrough.Announcement{
+		s.g.Expect(s.companions[i].role.Announce(context.Background(), gate.Announcement{
 			Server: s.servers[i].Name + "again", Service: "feed", DataCentre: core.DataCentre(dataCentre(byte(i))),
 			Born: time.Now().Add(time.Minute).UnixMilli(), Number: 1, Slots: 100,
 		})).To(gomega.Succeed())
--- a/tools/importrule/importrule.go
+++ b/tools/importrule/importrule.go
@@ -29,6 +29,7 @@
 var allowedProject = map[string]bool{
 	"zinniapulley.dev/core":            true,
 	"zinniapulley.dev/core/strictjson": true,
+	"zinniapulley.dev/passthrough":     true,
 	"zinniapulley.dev/route":           true,
 }
 
