Add empty modules for order of service, capacity and locality

Cause: the parts for hard load are built side by side; each needs its module, the replace lines in all module files and its place in the import rule.

--- /dev/null
+++ b/locality/doc.go
@@ -0,0 +1,3 @@
+// Package locality decides which part of the new flows of a data centre may be served by
+// another. It does no I/O and reads no clock.
+package locality
--- a/tools/importrule/importrule.go
+++ b/tools/importrule/importrule.go
@@ -21,16 +21,19 @@
 
 // DecisionModules lists the decision modules, by folder.
 var DecisionModules = []string{
-	"admission", "claim", "config", "consensus", "core", "flow",
-	"membership", "passthrough", "placement", "publish", "request", "route",
+	"admission", "capacity", "claim", "config", "consensus", "core", "flow",
+	"locality", "membership", "passthrough", "placement", "publish", "request", "route", "waitqueue",
 }
 
 // allowedProject lists the project's modules that a decision module may import.
 var allowedProject = map[string]bool{
+	"zinniapulley.dev/capacity":        true,
 	"zinniapulley.dev/core":            true,
 	"zinniapulley.dev/core/strictjson": true,
+	"zinniapulley.dev/locality":        true,
 	"zinniapulley.dev/passthrough":     true,
 	"zinniapulley.dev/route":           true,
+	"zinniapulley.dev/waitqueue":       true,
 }
 
 // platformNames are names of the users' platform that only its adapter may use.
