Encode relays of callers' packets, and name what a companion can tell

Cause: companions that have just started can tell whether they hold a flow only by the caller's packet. The entry instance sent it to each of them, and got a request for a copy from each. Change: datagram kinds for a packet that a conductor passes to other companions, and for the copies. The status says whether a companion supports them, whether its server may hold flows that it doesn't track, and when its server started. These fields are optional in CBOR and not part of the digest, so that old processes ignore them. The reason for lookups beyond their limit gets a plain text.

--- a/passthrough/packet.go
+++ b/passthrough/packet.go
@@ -90,7 +90,7 @@
 	"backend server drains", "backend server is gone", "data centre is out", "backend server is not heard of",
 	"backend server doesn't answer", "route doesn't allow the service", "cold backend server bears no more",
 	"too many connections", "backend server refused", "flow is not here", "backend server has lost the flow",
-	"companion stops", "too many flows are sought", "reset of an unknown flow",
+	"companion stops", "limit on flow lookups reached", "reset of an unknown flow",
 	"entry instance has just started", "answer would come too late", "request begins", "requests fail there",
 	"status of the companion is missing",
 }
@@ -129,6 +129,15 @@
 	// ReportInterval is the time between two reports while nothing changes; zero from a
 	// companion that doesn't name it.
 	ReportInterval time.Duration
+	// Relays is set by companions that support relayed lookups. It, Untracked and Born
+	// aren't part of the digest: older processes don't know them.
+	Relays bool
+	// Untracked is set while the backend server may hold flows that the companion
+	// doesn't track.
+	Untracked bool
+	// Born is when the backend server started, in milliseconds since 1970 by its own
+	// clock; zero if it doesn't report it.
+	Born int64
 }
 
 // NoteKind is what a note reports about a flow.
--- a/wire/hop/hop.go
+++ b/wire/hop/hop.go
@@ -1,6 +1,6 @@
 // Package hop encodes the datagrams between entry instances, companions and control
 // instances in pass-through forwarding: callers' packets, notes about flows, flow
-// queries, surveys, statuses, loads and heartbeats. A datagram is a byte for its kind, followed by
+// queries, surveys, relays, statuses, loads and heartbeats. A datagram is a byte for its kind, followed by
 // a packet with a short header, by a message in CBOR (RFC 8949), or by fixed fields
 // where a message is frequent.
 package hop
@@ -175,6 +175,9 @@
 	Flows      int              `cbor:"10,keyasint"`
 	// ReportInterval is in nanoseconds.
 	ReportInterval time.Duration `cbor:"12,keyasint"`
+	Relays         bool          `cbor:"13,keyasint,omitempty"`
+	Untracked      bool          `cbor:"14,keyasint,omitempty"`
+	Born           int64         `cbor:"15,keyasint,omitempty"`
 }
 
 // EncodeStatus returns the datagram of a status.
--- a/wire/hop/hop_test.go
+++ b/wire/hop/hop_test.go
@@ -50,8 +50,24 @@
 	f.Add(hop.EncodeSurveyQuery(passthrough.SurveyQuery{Number: 8, Key: key(), Entry: addresses()[0]}))
 	f.Add(hop.EncodeSurveyAnswer(9))
 	f.Add(hop.AppendLoad(nil, passthrough.Load{Digest: 5}))
+	encoded, err = hop.AppendRelay(nil, passthrough.Relay{Number: 7, Ask: addresses(), Packet: []byte("packet")})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(encoded)
+	f.Add(hop.AppendRelayedCopy(nil, passthrough.RelayedCopy{Number: 8, Entry: addresses()[0], Packet: []byte("packet")}))
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		g := gomega.NewWithT(t)
+		relay, err := hop.DecodeRelay(datagram)
+		if err == nil {
+			again, err := hop.AppendRelay(nil, relay)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(again[1:]).To(gomega.Equal(datagram[1:]))
+		}
+		relayed, err := hop.DecodeRelayedCopy(datagram)
+		if err == nil {
+			g.Expect(hop.AppendRelayedCopy(nil, relayed)[1:]).To(gomega.Equal(datagram[1:]))
+		}
 		survey, err := hop.DecodeSurvey(datagram)
 		if err == nil {
 			again, err := hop.EncodeSurvey(survey)
--- a/wire/hop/survey.go
+++ b/wire/hop/survey.go
@@ -75,18 +75,7 @@
 
 // encodeSurvey encodes a header, and companions as their common port and their addresses.
 func encodeSurvey(kind Kind, number uint32, key core.FlowKey, companions []netip.AddrPort) ([]byte, error) {
-	datagram := appendHeader(kind, number, key)
-	for i, companion := range companions {
-		if i == 0 {
-			datagram = binary.BigEndian.AppendUint16(datagram, companion.Port())
-		}
-		if companion.Port() != companions[0].Port() {
-			return nil, errors.NotSupportedf("companions with ports %d and %d in a survey", companions[0].Port(), companion.Port())
-		}
-		ip := companion.Addr().As4()
-		datagram = append(datagram, ip[:]...)
-	}
-	return datagram, nil
+	return appendCompanions(appendHeader(kind, number, key), companions)
 }
 
 // decodeSurvey returns the number, the key and the companions of a datagram.
@@ -102,12 +91,7 @@
 	if len(rest) < addressLen || (len(rest)-portLen)%ipLen != 0 {
 		return 0, core.FlowKey{}, nil, errors.Errorf("survey with %d bytes of addresses", len(rest))
 	}
-	port := binary.BigEndian.Uint16(rest)
-	var companions []netip.AddrPort
-	for rest = rest[portLen:]; len(rest) > 0; rest = rest[ipLen:] {
-		companions = append(companions, netip.AddrPortFrom(netip.AddrFrom4([ipLen]byte(rest[:ipLen])), port))
-	}
-	return number, key, companions, nil
+	return number, key, decodeCompanions(rest), nil
 }
 
 func appendHeader(kind Kind, number uint32, key core.FlowKey) []byte {
