Decide about relayed copies of callers' packets in the gate

Cause: a companion that can't tell whether it holds a flow has its server decide, and then answered to the entry instance, whose network is the narrow one. Change: a copy carries its conductor, which is told if the flow isn't held; the holder tells the entry instance. A lookup copy no longer causes a reset where the gate still tracks an earlier flow of the same addresses and ports: another server may hold the later one. Before, such a copy that was returned, or whose server had ended, reset the caller.

--- a/passthrough/gate/caller.go
+++ b/passthrough/gate/caller.go
@@ -20,9 +20,9 @@
 		return
 	}
 	if g.target.Down() || !p.Flags.Has(core.TCPAck) || p.Ack-flow.synAckSeq > confirmSpan {
-		entry, lookupCopy := flow.entry, flow.lookupCopy
+		entry, lookupCopy, relayed := flow.entry, flow.lookupCopy, flow.relayed
 		g.remove(p.Key, flow)
-		g.returnPacket(entry, lookupCopy, p, passthrough.ReasonNotHeld)
+		g.returnPacket(entry, lookupCopy, relayed, p, passthrough.ReasonNotHeld)
 		return
 	}
 	flow.stage = stageOpen
@@ -34,6 +34,13 @@
 // laterPacket delivers a packet of a flow held here, or resets the flow if the
 // backend server has ended.
 func (g *Gate) laterPacket(now time.Time, p *passthrough.Packet, flow *gateFlow) {
+	if flow.lookupCopy && flow.stage == stageOpen && g.target.Down() {
+		// As for a returned lookup copy: another server may hold a later flow.
+		entry, relayed := flow.entry, flow.relayed
+		g.remove(p.Key, flow)
+		g.returnPacket(entry, true, relayed, p, passthrough.ReasonNotHeld)
+		return
+	}
 	if flow.lookupCopy && flow.stage == stageOpen {
 		g.note(passthrough.NoteHeld, passthrough.ReasonOpened, p.Key, flow.entry)
 	}
--- a/passthrough/gate/gate.go
+++ b/passthrough/gate/gate.go
@@ -119,6 +119,8 @@
 	entry netip.AddrPort
 	// lookupCopy is set when that packet was a lookup copy, sent to others too.
 	lookupCopy bool
+	// relayed is the relay that the copy belongs to, if any.
+	relayed relayOrigin
 	// admittedAt is when the flow was admitted here; expected is set while its first
 	// request is expected.
 	admittedAt time.Time
@@ -215,27 +217,31 @@
 // next call of a method.
 func (g *Gate) FromEntry(now time.Time, entry netip.AddrPort, lookupCopy bool, version uint64, p *passthrough.Packet) []Action {
 	g.out = g.out[:0]
+	g.fromEntry(now, entry, lookupCopy, relayOrigin{}, version, p)
+	return g.out
+}
+
+func (g *Gate) fromEntry(now time.Time, entry netip.AddrPort, lookupCopy bool, relayed relayOrigin, version uint64, p *passthrough.Packet) {
 	flow, known := g.flows[p.Key]
 	if known && flow.stage == stageNotHeld && p.Flags.Opens() {
 		delete(g.flows, p.Key)
 		flow, known = nil, false
 	}
 	if known {
-		flow.entry, flow.lookupCopy, flow.lastSeen = entry, lookupCopy, now
+		flow.entry, flow.lookupCopy, flow.relayed, flow.lastSeen = entry, lookupCopy, relayed, now
 	}
 	switch {
 	case p.Flags.Opens():
 		g.openingPacket(now, entry, version, p, flow)
 	case !known:
-		g.unknownFlow(now, entry, lookupCopy, p)
+		g.unknownFlow(now, entry, lookupCopy, relayed, p)
 	case flow.stage == stageNotHeld:
-		g.returnPacket(entry, lookupCopy, p, passthrough.ReasonNotHeld)
+		g.returnPacket(entry, lookupCopy, relayed, p, passthrough.ReasonNotHeld)
 	case flow.stage == stageHalfOpen:
 		g.confirmation(now, p, flow)
 	default:
 		g.laterPacket(now, p, flow)
 	}
-	return g.out
 }
 
 // HandleQuery answers an entry instance that looks up a flow. The result is valid until
@@ -280,9 +286,9 @@
 
 // unknownFlow decides about a packet of a flow that isn't tracked here. It is
 // delivered only while the backend server may hold flows older than this Gate.
-func (g *Gate) unknownFlow(now time.Time, entry netip.AddrPort, lookupCopy bool, p *passthrough.Packet) {
+func (g *Gate) unknownFlow(now time.Time, entry netip.AddrPort, lookupCopy bool, relayed relayOrigin, p *passthrough.Packet) {
 	if g.tracksAllFlows(now) || !g.mayHold(p.Key) {
-		g.returnPacket(entry, lookupCopy, p, passthrough.ReasonNotHeld)
+		g.returnPacket(entry, lookupCopy, relayed, p, passthrough.ReasonNotHeld)
 		return
 	}
 	if lookupCopy && !g.target.Known {
@@ -292,7 +298,7 @@
 		g.act(Drop, passthrough.ReasonNoTarget, p)
 		return
 	}
-	g.flows[p.Key] = &gateFlow{stage: stageUnconfirmed, entry: entry, lookupCopy: lookupCopy, lastSeen: now}
+	g.flows[p.Key] = &gateFlow{stage: stageUnconfirmed, entry: entry, lookupCopy: lookupCopy, relayed: relayed, lastSeen: now}
 	g.act(Deliver, passthrough.ReasonUnknownFlow, p)
 }
 
@@ -316,8 +322,13 @@
 }
 
 // returnPacket returns a packet to the entry instance because the backend server
-// doesn't hold its flow. A lookup copy is only answered with a note.
-func (g *Gate) returnPacket(entry netip.AddrPort, lookupCopy bool, p *passthrough.Packet, reason passthrough.Reason) {
+// doesn't hold its flow. A lookup copy is only answered with a note, and a relayed one
+// with an answer to its conductor.
+func (g *Gate) returnPacket(entry netip.AddrPort, lookupCopy bool, relayed relayOrigin, p *passthrough.Packet, reason passthrough.Reason) {
+	if relayed.conductor.IsValid() {
+		g.out = append(g.out, Action{Kind: AnswerSurvey, Reason: reason, To: relayed.conductor, SurveyNumber: relayed.number})
+		return
+	}
 	if lookupCopy {
 		g.note(passthrough.NoteNotHeld, reason, p.Key, entry)
 		return
--- a/passthrough/gate/server.go
+++ b/passthrough/gate/server.go
@@ -18,9 +18,8 @@
 		return g.out
 	}
 	if known && flow.resetsLookupCopy(p) {
-		entry := flow.entry
 		flow.stage, flow.lastSeen = stageNotHeld, now
-		g.returnPacket(entry, true, p, passthrough.ReasonNotHeld)
+		g.returnPacket(flow.entry, true, flow.relayed, p, passthrough.ReasonNotHeld)
 		return g.out
 	}
 	if !known {
@@ -96,11 +95,17 @@
 		g.act(Drop, passthrough.ReasonNotHeld, p)
 		return
 	}
-	entry, lookupCopy := flow.entry, flow.lookupCopy
+	entry, lookupCopy, relayed := flow.entry, flow.lookupCopy, flow.relayed
 	switch {
 	case p.Flags.Opens():
 		g.remove(p.Key, flow)
 		g.out = append(g.out, Action{Kind: Refuse, Reason: passthrough.ReasonServerRefused, To: entry, Packet: p})
+	case flow.stage == stageOpen && flow.serverSent && lookupCopy:
+		// Another server may hold a later flow with the same addresses and ports: a lookup
+		// copy never resets it. The entry instance was told that the flow is held here.
+		g.close(flow)
+		flow.stage = stageNotHeld
+		g.returnPacket(entry, false, relayOrigin{}, p, passthrough.ReasonNotHeld)
 	case flow.stage == stageOpen && flow.serverSent:
 		g.flowLost(p, flow)
 	case flow.stage == stageClosed:
@@ -108,7 +113,7 @@
 	default:
 		g.close(flow)
 		flow.stage = stageNotHeld
-		g.returnPacket(entry, lookupCopy, p, passthrough.ReasonNotHeld)
+		g.returnPacket(entry, lookupCopy, relayed, p, passthrough.ReasonNotHeld)
 	}
 }
 
--- a/passthrough/gate/target.go
+++ b/passthrough/gate/target.go
@@ -288,5 +288,6 @@
 		DataCentre: g.config.DataCentre, Service: g.target.Service, Server: g.target.Server,
 		Ready: ready, Departed: g.noServer(now), Cold: cold, Failing: g.health.failing(now, g.running), Slots: g.target.Slots,
 		Running: g.running, Flows: g.open,
+		Relays: true, Untracked: !g.tracksAllFlows(now), Born: g.target.Born,
 	}
 }
