Look up open flows by relays after a restart, and reset flows of replaced servers

Cause: after all processes were killed, each lookup queried the first companions, got the answer that they can't tell, sent each the packet, and was widened to all 61 after 120 and 300 ms although its messages hadn't been sent for want of the limit. Copies were charged as 52 bytes. Change: an entry instance sends the packet once to a conductor, first for the companions that shared the choice, then for all that can't tell. Lookups are charged in bytes, get their turn oldest first and before repetitions, and keep their scope while they wait. A conductor without a result isn't used for a second. Flows that were confirmed at a server that has been replaced are checked at their companion by a numbered query and reset on its denial, if the caller has sent nothing since. Counters and a line a second show relays.

--- a/measure/flows/flows.go
+++ b/measure/flows/flows.go
@@ -324,7 +324,7 @@
 // dispatch executes the actions of a Dispatcher and counts the messages.
 func (f *forwarding) dispatch(entry int, actions []dispatch.Action) {
 	for _, a := range append([]dispatch.Action(nil), actions...) {
-		if a.Kind == dispatch.Survey {
+		if a.Kind == dispatch.Survey || a.Kind == dispatch.Relay {
 			f.survey(entry, a)
 			continue
 		}
@@ -341,7 +341,15 @@
 	}
 }
 
-// survey has the companion of the action query the others.
+// askVia asks a companion as part of a survey or relay of the action.
+func (f *forwarding) askVia(i int, a dispatch.Action, query passthrough.SurveyQuery) []gate.Action {
+	if a.Kind == dispatch.Survey {
+		return f.gates[i].HandleSurveyQuery(f.now, a.To, query)
+	}
+	return f.gates[i].HandleRelayedCopy(f.now, a.To, passthrough.RelayedCopy{Number: query.Number, Entry: query.Entry}, a.Packet)
+}
+
+// survey has the companion of the action ask the others.
 func (f *forwarding) survey(entry int, a dispatch.Action) {
 	f.sent++
 	surveys := gate.NewSurveys()
@@ -349,7 +357,7 @@
 	for _, at := range a.Survey.Ask {
 		f.sent++
 		i := companionIndex(at)
-		for _, answer := range append([]gate.Action(nil), f.gates[i].HandleSurveyQuery(f.now, a.To, query)...) {
+		for _, answer := range append([]gate.Action(nil), f.askVia(i, a, query)...) {
 			if answer.Kind != gate.AnswerSurvey {
 				f.execute(entry, i, []gate.Action{answer})
 				continue
--- a/passthrough/dispatch/companion.go
+++ b/passthrough/dispatch/companion.go
@@ -43,6 +43,15 @@
 	// unansweredSince is when the first opening packet was sent there since it last
 	// responded to one; zero for none.
 	unansweredSince time.Time
+	// unsureAt is when the companion last couldn't tell whether it holds a flow, and
+	// notConductedAt when it last left a relay without a result.
+	unsureAt       time.Time
+	notConductedAt time.Time
+	// server and born identify the last backend server that a status named, and epoch
+	// counts these, from 1.
+	server string
+	born   int64
+	epoch  uint32
 }
 
 // fresh reports whether the companion's status counts in full.
@@ -93,6 +102,7 @@
 		d.companions[status.Companion] = c
 	}
 	serviceChanged := !known || c.status.Service != status.Service
+	d.trackServer(c, status)
 	c.status = status
 	c.setLoad(status.Running, status.Flows)
 	if digest := status.Digest(); digest != c.digest {
--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -49,6 +49,10 @@
 	Query
 	// Survey has a companion query others whether they hold the flow.
 	Survey
+	// Relay has a companion pass copies of the packet to others. Survey lists these.
+	Relay
+	// Check sends a companion a numbered query whether it still holds a flow, in Survey.
+	Check
 	// RequestStatus requests a companion's full status.
 	RequestStatus
 	// Reset answers the caller with a reset.
@@ -90,6 +94,11 @@
 	// busy is set when a companion refused the flow only because its answer would
 	// come too late.
 	busy bool
+	// ownerEpoch is the owner's epoch when it confirmed the flow, zero for unknown.
+	ownerEpoch uint32
+	// ack is the caller's last acknowledgement, valid if acked is set.
+	ack   uint32
+	acked bool
 	// lookup is set while the flow's owner is looked up.
 	lookup *flowLookup
 	// closing is set once the caller has closed its side.
@@ -110,17 +119,24 @@
 	// lastSweepCall is when Sweep was last called, lastSweep when it last removed flows.
 	lastSweepCall time.Time
 	lastSweep     time.Time
-	// maxQueries is how many messages lookups may send in any second, and queries how many
-	// they may send as of refilledAt.
-	maxQueries float64
-	queries    float64
-	refilledAt time.Time
+	// maxLookupBytes is how many bytes lookups may send in any second, and lookupBytes how
+	// many they may send as of refilledAt.
+	maxLookupBytes float64
+	lookupBytes    float64
+	refilledAt     time.Time
+	// backlog is set while a lookup waits for its turn to send: others queue behind it.
+	backlog bool
 	// firstRequestAt and requestedAt are when statuses were first and last requested.
 	firstRequestAt time.Time
 	requestedAt    time.Time
-	// lookups counts the lookups; active holds those that await answers.
+	// lookups counts the lookups and relays; active holds the lookups that await answers.
 	lookups uint32
 	active  map[*flowLookup]core.FlowKey
+	// due and planned are reused: the lookups to continue, and the messages of one.
+	due     []*flowLookup
+	planned []Action
+	relays  RelayCounts
+	checks  checks
 	// waiting holds the opening packets that can't be decided yet, by flow.
 	waiting map[core.FlowKey]waitingPacket
 	// heldPackets counts the packets held while their flows are looked up.
@@ -142,6 +158,7 @@
 		flows:      make(map[core.FlowKey]*cachedFlow),
 		active:     make(map[*flowLookup]core.FlowKey),
 		waiting:    make(map[core.FlowKey]waitingPacket),
+		checks:     newChecks(),
 	}
 	d.SetNetwork(0)
 	return d
@@ -282,6 +299,7 @@
 		d.flows[p.Key] = flow
 	}
 	flow.lastSeen = now
+	flow.ack, flow.acked = p.Ack, p.Flags.Has(core.TCPAck)
 	if p.Flags.Has(core.TCPFin) || p.Flags.Has(core.TCPRst) {
 		flow.closing = true
 	}
@@ -412,7 +430,7 @@
 			flow.attempts[i].admitted = flow.attempts[i].admitted || flow.attempts[i].companion == from
 		}
 	case passthrough.NoteHeld:
-		flow.owner = from
+		flow.owner, flow.ownerEpoch = from, d.epochOf(from)
 		flow.attempts = nil
 		d.sendHeldToOwner(now, flow)
 	case passthrough.NoteLost:
@@ -420,7 +438,7 @@
 	case passthrough.NoteNotHeld:
 		d.recordNotHeld(now, note.Key, flow, from)
 	case passthrough.NoteUnsure:
-		d.sendLookupCopy(flow, from)
+		d.noteUnsure(now, note.Key, flow, from)
 	}
 	return d.out
 }
@@ -433,6 +451,7 @@
 	d.requestStatuses(now)
 	d.retryWaiting(now)
 	d.retryLookups(now)
+	d.continueChecks(now)
 	return d.out
 }
 
@@ -447,6 +466,7 @@
 func (d *Dispatcher) Sweep(now time.Time) {
 	if !d.lastSweepCall.IsZero() && now.Sub(d.lastSweepCall) > pauseLimit {
 		d.started = now
+		d.checks.clear()
 	}
 	d.lastSweepCall = now
 	if now.Sub(d.lastSweep) < passthrough.SweepInterval {
--- a/passthrough/dispatch/lookup.go
+++ b/passthrough/dispatch/lookup.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -48,12 +49,9 @@
 	// maxNetwork is the most of a network that is counted, in bytes a second, also where
 	// it is unknown: beyond it lookups are bounded by the processor.
 	maxNetwork = 1_250_000
-	// queryLen is the length of a query in bytes, with the headers of UDP and IPv4.
-	queryLen = 52
-	// addressesPerQuery is how many companions of a survey are as long as a query.
-	addressesPerQuery = 13
-	// maxHeldPackets is the most packets held while their flows are looked up.
-	maxHeldPackets = 256
+	// maxHeldPackets is the most packets held while their flows are looked up: as many as
+	// relays of short packets fit the bound within holdLimit. They take 2.6 MB at most.
+	maxHeldPackets = 2048
 )
 
 // scope is which companions a lookup asks.
@@ -73,7 +71,16 @@
 type flowLookup struct {
 	// number identifies the lookup.
 	number uint32
-	began  time.Time
+	// began is when the lookup began, or began anew; since is when it first did, and
+	// order its number then. Lookups get their turn in this order.
+	began time.Time
+	since time.Time
+	order uint32
+	// sentAt is when its first message was sent, zero for none; sent is set once the
+	// messages for its scope were sent. limited is set once it had to wait for its turn.
+	sentAt  time.Time
+	sent    bool
+	limited bool
 	// retryAt is when the queries without an answer are repeated.
 	retryAt time.Time
 	// scope is what companions are asked.
@@ -82,6 +89,11 @@
 	notHeldBy map[netip.AddrPort]bool
 	// surveys holds the companions asked by the last survey of each conductor.
 	surveys map[netip.AddrPort][]netip.AddrPort
+	// relays holds the relays sent, by number; relayed counts them since the flow's lookup
+	// first began, and repeats those since its scope last changed.
+	relays  map[uint32]*relaySent
+	relayed int
+	repeats int
 	// packet is the newest packet, held since heldAt until the owner is found; nil for
 	// none.
 	packet *passthrough.Packet
@@ -99,7 +111,7 @@
 // if valid, has just returned the packet and isn't queried.
 func (d *Dispatcher) lookUp(now time.Time, p *passthrough.Packet, flow *cachedFlow, notHeldAt netip.AddrPort) {
 	if flow.lookup == nil {
-		flow.lookup = &flowLookup{}
+		flow.lookup = &flowLookup{since: now, order: d.lookups}
 		d.active[flow.lookup] = p.Key
 	}
 	l := flow.lookup
@@ -121,25 +133,56 @@
 func (d *Dispatcher) beginLookup(now time.Time, l *flowLookup) {
 	d.lookups++
 	l.number, l.began, l.retryAt = d.lookups, now, now
-	l.scope, l.notHeldBy = scopeLikely, make(map[netip.AddrPort]bool)
+	l.notHeldBy = make(map[netip.AddrPort]bool)
 	l.surveys = make(map[netip.AddrPort][]netip.AddrPort)
+	l.relays = make(map[uint32]*relaySent)
+	l.sentAt = time.Time{}
+	l.setScope(scopeLikely)
 }
 
-// retryLookups repeats the queries without an answer, without waiting for the caller to
-// repeat its packet. It no longer waits for companions that don't answer before it asks
-// further ones.
+func (l *flowLookup) setScope(s scope) { l.scope, l.sent, l.repeats = s, false, 0 }
+
+// retryLookups sends the messages that waited for their turn, and repeats those without an
+// answer, without waiting for the caller to repeat its packet. A lookup whose messages were
+// sent no longer waits for companions that don't answer before it asks further ones.
 func (d *Dispatcher) retryLookups(now time.Time) {
-	d.refillQueries(now)
-	for l, key := range d.active {
+	d.refillLookupBytes(now)
+	d.backlog = false
+	d.due = d.due[:0]
+	for l := range d.active {
 		if l.packet == nil || now.Sub(l.heldAt) > holdLimit || now.Before(l.retryAt) {
 			continue
 		}
 		if l.expired(now) {
 			d.beginLookup(now, l)
 		}
-		l.scope = max(l.scope, d.scopeAfter(now, now.Sub(l.began)))
-		d.sendQueries(now, key, l)
+		if l.sent {
+			widened := d.scopeAfter(now, now.Sub(l.sentAt))
+			if widened > l.scope {
+				l.setScope(widened)
+			}
+		}
+		d.due = append(d.due, l)
+	}
+	slices.SortFunc(d.due, compareLookups)
+	for _, l := range d.due {
+		if !d.sendQueries(now, d.active[l], l) {
+			break
+		}
+	}
+	clear(d.due)
+}
+
+// compareLookups orders lookups by their turn: those that wait to ask for the first time
+// before those that repeat it, the oldest first.
+func compareLookups(a, b *flowLookup) int {
+	if a.sent != b.sent {
+		if a.sent {
+			return 1
+		}
+		return -1
 	}
+	return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.order, b.order))
 }
 
 // scopeAfter returns whom a lookup asks at least after the given time.
@@ -154,11 +197,11 @@
 	}
 }
 
-// refillQueries adds to the messages that lookups may send.
-func (d *Dispatcher) refillQueries(now time.Time) {
+// refillLookupBytes adds to the bytes that lookups may send.
+func (d *Dispatcher) refillLookupBytes(now time.Time) {
 	elapsed := min(now.Sub(d.refilledAt), time.Second)
 	d.refilledAt = now
-	d.queries = min(d.queries+(1-burstShare)*d.maxQueries*elapsed.Seconds(), burstShare*d.maxQueries)
+	d.lookupBytes = min(d.lookupBytes+(1-burstShare)*d.maxLookupBytes*elapsed.Seconds(), burstShare*d.maxLookupBytes)
 }
 
 // SetNetwork sets what this entry instance may send a second, and receive, in bytes; zero
@@ -167,8 +210,8 @@
 	if bytesPerSecond <= 0 || bytesPerSecond > maxNetwork {
 		bytesPerSecond = maxNetwork
 	}
-	d.maxQueries = lookupShare * float64(bytesPerSecond) / queryLen
-	d.queries = burstShare * d.maxQueries
+	d.maxLookupBytes = lookupShare * float64(bytesPerSecond)
+	d.lookupBytes = burstShare * d.maxLookupBytes
 }
 
 // discovered reports whether this entry instance has received reports for long enough to
@@ -183,6 +226,7 @@
 func (d *Dispatcher) holdPacket(now time.Time, l *flowLookup, p *passthrough.Packet) {
 	if l.packet == nil {
 		if d.heldPackets >= maxHeldPackets {
+			d.drop(p, passthrough.ReasonLookupLimit)
 			return
 		}
 		d.heldPackets++
@@ -249,36 +293,103 @@
 	}
 }
 
-// sendQueries queries the companions in the lookup's scope that haven't answered, by
-// surveys if they are many.
-func (d *Dispatcher) sendQueries(now time.Time, key core.FlowKey, l *flowLookup) {
-	l.retryAt = now.Add(queryTimeout)
+// sendQueries asks the companions in the lookup's scope that haven't answered: by relays if
+// their records can't tell whether they hold the flow, by surveys if they are many, and
+// by queries otherwise. It reports false if the lookup has to wait for its turn.
+func (d *Dispatcher) sendQueries(now time.Time, key core.FlowKey, l *flowLookup) bool {
+	if d.settling(now) {
+		return true
+	}
+	if l.sentAt.IsZero() && now.Sub(l.began) > queryTimeout {
+		// It has waited: its answers are valid from now on.
+		d.beginLookup(now, l)
+	}
+	if l.scope == scopeLikely && l.packet != nil && slices.ContainsFunc(d.possibleHolders(key, scopeFirst), func(c *companion) bool { return c.needsCopy(now) }) {
+		l.setScope(scopeFirst)
+	}
 	asked := slices.DeleteFunc(d.possibleHolders(key, l.scope), func(c *companion) bool { return l.notHeldBy[c.status.Companion] })
+	d.planned = d.planned[:0]
+	asked = d.planRelays(now, key, l, asked)
+	relays := len(d.planned)
+	timeout := queryTimeout
 	if l.scope == scopeAll && len(asked) > directQueries {
-		l.retryAt = now.Add(surveyLimit)
-		d.sendSurveys(now, key, l, asked)
-		return
+		timeout = surveyLimit
+		d.planSurveys(now, key, l, asked)
+	} else {
+		d.planQueries(key, asked)
+	}
+	if !d.takeMessages(key, l) {
+		return false
+	}
+	if relays > 0 {
+		timeout = surveyLimit << min(l.repeats, maxRelayBackoff)
+	}
+	l.retryAt = now.Add(timeout)
+	if len(d.planned) == 0 {
+		return true
+	}
+	if relays > 0 {
+		d.countRelays(now, l)
+	}
+	for _, a := range d.planned {
+		d.sendLookupMessage(now, l, a)
+	}
+	if l.sentAt.IsZero() {
+		l.sentAt = now
 	}
-	d.queryEach(key, asked)
+	l.sent = true
+	return true
+}
+
+// sendLookupMessage sends a message of a lookup that takeMessages has counted.
+func (d *Dispatcher) sendLookupMessage(now time.Time, l *flowLookup, a Action) {
+	switch a.Kind {
+	case Survey:
+		l.surveys[a.To] = a.Survey.Ask
+	case Relay:
+		d.lookups++
+		a.Survey.Number = d.lookups
+		l.relays[a.Survey.Number] = &relaySent{conductor: a.To, asked: a.Survey.Ask}
+		l.sentTo = append(l.sentTo, a.Survey.Ask...)
+	}
+	d.out = append(d.out, a)
 }
 
-func (d *Dispatcher) queryEach(key core.FlowKey, companions []*companion) {
+func (d *Dispatcher) planQueries(key core.FlowKey, companions []*companion) {
 	for _, c := range companions {
-		if !d.takeQueries(key, 1) {
-			return
-		}
-		d.out = append(d.out, Action{Kind: Query, Reason: passthrough.ReasonUnknownFlow, To: c.status.Companion, Packet: &passthrough.Packet{Key: key}})
+		d.planned = append(d.planned, Action{Kind: Query, Reason: passthrough.ReasonUnknownFlow, To: c.status.Companion, Packet: &passthrough.Packet{Key: key}})
+	}
+}
+
+// takeMessages reports whether the planned messages of a lookup may be sent, and counts
+// their bytes. If not, retryLookups sends them in their turn.
+func (d *Dispatcher) takeMessages(key core.FlowKey, l *flowLookup) bool {
+	total := 0
+	for i := range d.planned {
+		total += messageLen(&d.planned[i])
+	}
+	if d.takeBytes(total) {
+		return true
+	}
+	if !l.limited {
+		l.limited = true
+		d.out = append(d.out, Action{Kind: Wait, Reason: passthrough.ReasonLookupLimit, Packet: &passthrough.Packet{Key: key}})
 	}
+	return false
 }
 
-// takeQueries reports whether a message of a lookup that is as long as so many queries
-// may be sent, and counts it. The lookup is continued by retryLookups if not.
-func (d *Dispatcher) takeQueries(key core.FlowKey, count float64) bool {
-	if d.queries < count {
-		d.drop(&passthrough.Packet{Key: key}, passthrough.ReasonLookupLimit)
+// takeBytes reports whether lookups may send so many bytes now, and counts them. Nothing
+// is sent while an earlier lookup waits.
+func (d *Dispatcher) takeBytes(count int) bool {
+	if count == 0 {
+		return true
+	}
+	// Messages longer than the whole allowance wait until it is full.
+	if d.backlog || d.lookupBytes < min(float64(count), burstShare*d.maxLookupBytes) {
+		d.backlog = true
 		return false
 	}
-	d.queries -= count
+	d.lookupBytes -= float64(count)
 	return true
 }
 
@@ -288,16 +399,40 @@
 	if l != nil && l.packet != nil && !slices.Contains(l.sentTo, flow.owner) {
 		d.forward(now, l.packet, flow.owner, passthrough.ReasonAlreadyTried)
 	}
+	if l != nil && l.relayed > 0 {
+		d.relays.Found++
+	}
 	d.endLookup(flow)
 }
 
+// noteUnsure records that a companion can't tell without the packet whether it holds the
+// flow, and sends it the packet: by a relay to all that haven't answered if it supports
+// relays. Those that can't tell either are in the same relay.
+func (d *Dispatcher) noteUnsure(now time.Time, key core.FlowKey, flow *cachedFlow, at netip.AddrPort) {
+	c, known := d.companions[at]
+	if known {
+		c.unsureAt = now
+	}
+	if known && c.status.Relays {
+		if flow.lookup != nil && !flow.owner.IsValid() && len(flow.lookup.relays) == 0 {
+			flow.lookup.retryAt = now
+			d.sendQueries(now, key, flow.lookup)
+		}
+		return
+	}
+	d.sendLookupCopy(flow, at)
+}
+
 // sendLookupCopy sends the held packet to a companion that can't answer without it.
 func (d *Dispatcher) sendLookupCopy(flow *cachedFlow, at netip.AddrPort) {
-	if flow.owner.IsValid() || flow.lookup == nil || flow.lookup.packet == nil || !d.takeQueries(flow.lookup.packet.Key, 1) {
+	if flow.owner.IsValid() || flow.lookup == nil || flow.lookup.packet == nil {
 		return
 	}
-	flow.lookup.sentTo = append(flow.lookup.sentTo, at)
-	d.out = append(d.out, Action{Kind: Lookup, Reason: passthrough.ReasonUnknownFlow, To: at, Packet: flow.lookup.packet})
+	d.planned = append(d.planned[:0], Action{Kind: Lookup, Reason: passthrough.ReasonUnknownFlow, To: at, Packet: flow.lookup.packet})
+	if d.takeMessages(flow.lookup.packet.Key, flow.lookup) {
+		flow.lookup.sentTo = append(flow.lookup.sentTo, at)
+		d.out = append(d.out, d.planned...)
+	}
 }
 
 // recordNotHeld records that a companion doesn't hold the flow.
@@ -322,7 +457,8 @@
 		if l.scope == scopeFirst && !d.asksAll(now) {
 			return
 		}
-		l.scope++
+		l.setScope(l.scope + 1)
+		l.retryAt = now
 		d.sendQueries(now, key, l)
 	}
 }
@@ -337,6 +473,9 @@
 		return
 	}
 	ack := flow.lookup.ack
+	if flow.lookup.relayed > 0 {
+		d.relays.Denied++
+	}
 	d.remove(key, flow)
 	d.out = append(d.out, Action{Kind: Reset, Reason: passthrough.ReasonFlowLost, Packet: &passthrough.Packet{Key: key}, ResetSeq: ack})
 }
--- a/passthrough/dispatch/survey.go
+++ b/passthrough/dispatch/survey.go
@@ -22,55 +22,63 @@
 	port       uint16
 }
 
-// sendSurveys has one companion of each data centre query the others there, and queries
-// directly where too few are asked. companions are in the flow's order, so that each
+// planSurveys plans that one companion of each data centre queries the others there, and
+// that they are queried directly where too few are asked. companions are in the flow's order, so that each
 // flow's surveys are conducted by others.
-func (d *Dispatcher) sendSurveys(now time.Time, key core.FlowKey, l *flowLookup, companions []*companion) {
-	var order []surveyGroup
-	groups := make(map[surveyGroup][]*companion)
-	for _, c := range companions {
-		group := surveyGroup{c.status.DataCentre, c.status.Companion.Port()}
-		if groups[group] == nil {
-			order = append(order, group)
-		}
-		groups[group] = append(groups[group], c)
-	}
-	for _, group := range order {
-		for part := range slices.Chunk(groups[group], maxSurveyed) {
+func (d *Dispatcher) planSurveys(now time.Time, key core.FlowKey, l *flowLookup, companions []*companion) {
+	for _, group := range groupCompanions(companions, true) {
+		for part := range slices.Chunk(group, maxSurveyed) {
 			conductor := slices.IndexFunc(part, func(c *companion) bool { return c.fresh(now) && !c.unreachable(now) })
 			if len(part) < minSurveyed || conductor < 0 {
-				d.queryEach(key, part)
+				d.planQueries(key, part)
 				continue
 			}
-			if !d.takeQueries(key, 1+float64(len(part))/addressesPerQuery) {
-				return
-			}
-			ask := make([]netip.AddrPort, 0, len(part))
-			for _, c := range part {
-				ask = append(ask, c.status.Companion)
-			}
 			to := part[conductor].status.Companion
-			l.surveys[to] = ask
-			d.out = append(d.out, Action{
+			d.planned = append(d.planned, Action{
 				Kind: Survey, Reason: passthrough.ReasonUnknownFlow, To: to,
-				Survey: passthrough.Survey{Number: l.number, Key: key, Ask: ask},
+				Survey: passthrough.Survey{Number: l.number, Key: key, Ask: addressesOf(part)},
 			})
 		}
 	}
 }
 
+// groupCompanions groups companions by their port, since the messages name one, and by data
+// centre if these are kept apart. The order is kept within the groups and among them.
+func groupCompanions(companions []*companion, apart bool) [][]*companion {
+	var grouped [][]*companion
+	indices := make(map[surveyGroup]int)
+	for _, c := range companions {
+		group := surveyGroup{port: c.status.Companion.Port()}
+		if apart {
+			group.dataCentre = c.status.DataCentre
+		}
+		index, known := indices[group]
+		if !known {
+			index = len(grouped)
+			indices[group] = index
+			grouped = append(grouped, nil)
+		}
+		grouped[index] = append(grouped[index], c)
+	}
+	return grouped
+}
+
 // HandleSurveyResult handles the result of a survey. One that was delayed until another
 // lookup of the flow has begun is ignored: the flow may have opened since. The result is
 // valid until the next call of a method.
 func (d *Dispatcher) HandleSurveyResult(now time.Time, from netip.AddrPort, result passthrough.SurveyResult) []Action {
 	d.out = d.out[:0]
 	flow, known := d.flows[result.Key]
-	if !known || flow.owner.IsValid() || flow.lookup == nil || flow.lookup.number != result.Number || flow.lookup.expired(now) {
+	if !known || flow.owner.IsValid() || flow.lookup == nil || flow.lookup.expired(now) {
+		return d.out
+	}
+	asked, current := d.askedBy(flow.lookup, from, result.Number)
+	if !current {
 		return d.out
 	}
 	notHeld := result.NotHeld
 	if len(notHeld) == 0 {
-		notHeld = flow.lookup.surveys[from]
+		notHeld = asked
 	}
 	for _, at := range notHeld {
 		flow.lookup.notHeldBy[at] = true
@@ -78,3 +86,20 @@
 	d.concludeLookup(now, result.Key, flow)
 	return d.out
 }
+
+// askedBy returns the companions that a conductor was to ask by the survey or relay with
+// the number. It reports false if the lookup sent it none.
+func (d *Dispatcher) askedBy(l *flowLookup, conductor netip.AddrPort, number uint32) ([]netip.AddrPort, bool) {
+	if number == l.number {
+		return l.surveys[conductor], true
+	}
+	r, known := l.relays[number]
+	if !known || r.conductor != conductor {
+		return nil, false
+	}
+	if !r.concluded {
+		r.concluded = true
+		d.relays.Concluded++
+	}
+	return r.asked, true
+}
--- a/passthrough/model_test.go
+++ b/passthrough/model_test.go
@@ -34,6 +34,8 @@
 	// synAcks lists the answers to an opening packet, by companion.
 	synAcks map[int]uint32
 	resets  int
+	// relayed and checks count relays and checks.
+	relayed, checks int
 }
 
 type modelOwner struct{ companion, start int }
@@ -53,13 +55,16 @@
 	// connection was begun.
 	down    bool
 	refused time.Time
+	// old is set for a process of the version before relayed lookups.
+	old bool
 }
 
 func newModel(t *rapid.T, lossy bool) *model {
 	seed := rapid.Uint64().Draw(t, "seed")
 	m := &model{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: start, open: map[core.FlowKey]modelOwner{}, revision: 1, lossy: lossy}
-	for range rapid.SampledFrom([]int{4, 24}).Draw(t, "companions") {
-		m.companions = append(m.companions, &modelCompanion{surveys: gate.NewSurveys()})
+	oldOneIn := rapid.SampledFrom([]int{0, 2}).Draw(t, "one companion of so many is of the old version")
+	for i := range rapid.SampledFrom([]int{4, 24}).Draw(t, "companions") {
+		m.companions = append(m.companions, &modelCompanion{surveys: gate.NewSurveys(), old: oldOneIn > 0 && i%oldOneIn == 0})
 	}
 	for i := range m.companions {
 		m.startServer(i)
@@ -168,6 +173,9 @@
 			c.gate.Sweep(m.now)
 			status := c.gate.Status(m.now)
 			status.Companion = companionAt(i)
+			if c.old {
+				status.Relays, status.Untracked, status.Born = false, false, 0
+			}
 			for _, e := range m.entries {
 				if !m.messageLost() {
 					e.HandleStatus(m.now, status)
@@ -206,46 +214,91 @@
 				m.gate(entry, i, m.companions[i].gate.HandleQuery(m.now, entryName(entry), a.Packet.Key), depth+1)
 			}
 		case dispatch.Survey:
-			m.survey(entry, int(a.To.Addr().As4()[3]), a.Survey, depth)
+			m.survey(entry, int(a.To.Addr().As4()[3]), a.Survey, nil, depth)
+		case dispatch.Relay:
+			m.survey(entry, int(a.To.Addr().As4()[3]), a.Survey, a.Packet, depth)
+		case dispatch.Check:
+			m.check(entry, a, depth)
 		case dispatch.Reset:
 			m.reset(a.Packet.Key, a.ResetSeq)
 		}
 	}
 }
 
-// survey has a companion conduct a survey. Answers that don't come are waited for until
-// the survey expires, at the current time.
-func (m *model) survey(entry, conductor int, survey passthrough.Survey, depth int) {
+// survey has a companion conduct a survey, or a relay of the packet if there is one.
+// Answers that don't come are waited for until the survey expires, at the current time.
+func (m *model) survey(entry, conductor int, survey passthrough.Survey, relayed *passthrough.Packet, depth int) {
 	if m.messageLost() {
 		return
 	}
-	surveys := m.companions[conductor].surveys
-	query, _ := surveys.Begin(m.now, entryName(entry), survey)
+	if relayed != nil {
+		m.requireRelays(conductor)
+		m.relayed++
+	}
+	c := m.companions[conductor]
+	query, _ := c.surveys.Begin(m.now, entryName(entry), survey)
 	for _, at := range survey.Ask {
 		i := int(at.Addr().As4()[3])
 		if m.messageLost() {
 			continue
 		}
-		actions := append([]gate.Action(nil), m.companions[i].gate.HandleSurveyQuery(m.now, companionAt(conductor), query)...)
-		for _, a := range actions {
-			if a.Kind != gate.AnswerSurvey {
-				m.gate(entry, i, []gate.Action{a}, depth+1)
-				continue
-			}
-			finished, done := surveys.NotHeld(companionAt(i), a.SurveyNumber)
-			if done && !m.messageLost() {
-				m.dispatch(entry, m.entries[entry].HandleSurveyResult(m.now, companionAt(conductor), finished.Result), depth+1)
-			}
+		if relayed == nil {
+			m.gate(entry, i, m.companions[i].gate.HandleSurveyQuery(m.now, companionAt(conductor), query), depth+1)
+			continue
 		}
+		m.requireRelays(i)
+		relayedCopy := passthrough.RelayedCopy{Number: query.Number, Entry: entryName(entry)}
+		m.gate(entry, i, m.companions[i].gate.HandleRelayedCopy(m.now, companionAt(conductor), relayedCopy, relayed), depth+1)
 	}
-	for _, finished := range surveys.Expire(m.now.Add(time.Second)) {
-		if !m.messageLost() {
-			m.dispatch(entry, m.entries[entry].HandleSurveyResult(m.now, companionAt(conductor), finished.Result), depth+1)
-		}
+	for _, finished := range c.surveys.Expire(m.now.Add(time.Second)) {
+		m.surveyResult(entry, conductor, finished, depth)
 	}
 }
 
-func entryName(i int) netip.AddrPort { return companionAt(100 + i) }
+func (m *model) requireRelays(companion int) {
+	if m.companions[companion].old {
+		m.t.Fatalf("companion %d doesn't support relays", companion)
+	}
+}
+
+// check asks a companion whether it still holds a flow. It may answer late.
+func (m *model) check(entry int, a dispatch.Action, depth int) {
+	m.checks++
+	if m.messageLost() {
+		return
+	}
+	i := int(a.To.Addr().As4()[3])
+	query := passthrough.SurveyQuery{Number: a.Survey.Number, Key: a.Survey.Key, Entry: entryName(entry)}
+	m.gate(entry, i, m.companions[i].gate.HandleSurveyQuery(m.now, entryName(entry), query), depth+1)
+}
+
+func (m *model) surveyResult(entry, conductor int, finished gate.FinishedSurvey, depth int) {
+	if !m.messageLost() {
+		m.dispatch(entry, m.entries[entry].HandleSurveyResult(m.now, companionAt(conductor), finished.Result), depth+1)
+	}
+}
+
+// answerSurvey delivers a companion's answer to the conductor of a survey, or to the entry
+// instance that has checked a flow.
+func (m *model) answerSurvey(entry, companion int, a gate.Action, depth int) {
+	if m.messageLost() {
+		return
+	}
+	to := int(a.To.Addr().As4()[3])
+	if to >= modelEntries {
+		m.dispatch(entry, m.entries[entry].HandleCheckAnswer(m.now, companionAt(companion), a.SurveyNumber), depth+1)
+		return
+	}
+	finished, done := m.companions[to].surveys.NotHeld(companionAt(companion), a.SurveyNumber)
+	if done {
+		m.surveyResult(entry, to, finished, depth)
+	}
+}
+
+// modelEntries is the number of the first entry instance's address.
+const modelEntries = 100
+
+func entryName(i int) netip.AddrPort { return companionAt(modelEntries + i) }
 
 func (m *model) gate(entry, companion int, actions []gate.Action, depth int) {
 	for _, a := range append([]gate.Action(nil), actions...) {
@@ -260,6 +313,8 @@
 			if !m.messageLost() {
 				m.dispatch(entry, m.entries[entry].HandleNote(m.now, companionAt(companion), a.Note), depth+1)
 			}
+		case gate.AnswerSurvey:
+			m.answerSurvey(entry, companion, a, depth)
 		case gate.Reset:
 			m.reset(a.Packet.Key, a.ResetSeq)
 		}
@@ -336,6 +391,19 @@
 	}
 }
 
+// replaceServer starts the backend server of an open flow anew, and lets the entry
+// instances learn of it.
+func (m *model) replaceServer() {
+	if m.nextPort == 0 {
+		return
+	}
+	owner, alive := m.alive(flowKey(1 + m.random.IntN(m.nextPort)))
+	if alive {
+		m.startServer(owner.companion)
+		m.advance(500 * time.Millisecond)
+	}
+}
+
 // useFlow sends a packet of an open flow through a random entry instance, and checks
 // that it reaches the backend server that holds the flow.
 func (m *model) useFlow() {
@@ -366,6 +434,8 @@
 	switch name {
 	case "open":
 		m.openFlow()
+	case "replace server":
+		m.replaceServer()
 	case "use":
 		m.useFlow()
 	case "restart entry":
@@ -373,6 +443,19 @@
 		m.advance(1200 * time.Millisecond)
 	case "restart companion":
 		m.startCompanion(i)
+	case "restart all companions":
+		for i := range m.companions {
+			m.startCompanion(i)
+		}
+		m.advance(250 * time.Millisecond)
+	case "restart all":
+		for i := range m.companions {
+			m.startCompanion(i)
+		}
+		for i := range m.entries {
+			m.startEntry(i)
+		}
+		m.advance(1200 * time.Millisecond)
 	case "restart server":
 		m.startServer(i)
 	case "end server":
@@ -400,26 +483,42 @@
 }
 
 var modelSteps = []string{
-	"open", "open", "use", "use", "use", "restart entry", "restart companion", "restart server", "end server", "probe", "probe",
+	"open", "open", "use", "use", "use", "restart entry", "restart companion", "restart all companions", "restart all", "restart server", "replace server", "end server", "probe", "probe",
 	"drain", "data centre", "wait",
 }
 
-func runModel(t *rapid.T, lossy bool) {
+// runModel plays random steps and returns how many relays and checks of flows they led to.
+func runModel(t *rapid.T, lossy bool) (relayed, checks int) {
 	m := newModel(t, lossy)
 	steps := rapid.SliceOfN(rapid.SampledFrom(modelSteps), 1, 60).Draw(t, "steps")
 	for _, name := range steps {
 		m.step(name)
 	}
+	return m.relayed, m.checks
+}
+
+// requireRelaysAndChecks runs the model, and requires that it has played relayed lookups
+// and checks of flows whose backend servers changed.
+func requireRelaysAndChecks(t *testing.T, lossy bool) {
+	relayed, checks := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		r, c := runModel(t, lossy)
+		relayed, checks = relayed+r, checks+c
+	})
+	t.Logf("relays %d, checks of flows %d", relayed, checks)
+	if !t.Failed() && (relayed == 0 || checks == 0) {
+		t.Fatalf("relays %d, checks of flows %d: the model played none of one kind", relayed, checks)
+	}
 }
 
 // Whatever is restarted, drained or taken out of service, a packet of an open flow
 // reaches the backend server that holds it, and no such flow is reset.
 func TestOpenFlowsSurviveChangesInTheReferenceModel(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { runModel(t, false) })
+	requireRelaysAndChecks(t, false)
 }
 
 // The same while one message in ten is lost: packets may be lost, but no open flow is
 // reset.
 func TestNoOpenFlowIsResetWhenMessagesAreLost(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { runModel(t, true) })
+	requireRelaysAndChecks(t, true)
 }
--- a/roles/companion/owner.go
+++ b/roles/companion/owner.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"zinniapulley.dev/asynclog"
 	"zinniapulley.dev/core"
@@ -115,12 +116,19 @@
 		return nil
 	case hop.KindSurvey, hop.KindSurveyQuery, hop.KindSurveyAnswer:
 		return path.fromSurvey(now, d)
+	case hop.KindRelay:
+		return path.relay(now, d)
+	case hop.KindRelayedCopy:
+		return path.fromRelay(now, d)
 	case hop.KindQuery:
 		key, err := hop.DecodeQuery(d.Data)
 		if err == nil {
 			path.execute(now, path.gate.HandleQuery(now, d.From, key))
 		}
 		return err
+	case hop.KindForward, hop.KindLookup:
+	default:
+		return errors.NotSupportedf("datagram of kind %d", hop.KindOf(d.Data))
 	}
 	envelope, err := hop.DecodeEnvelope(d.Data)
 	if err != nil {
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -20,6 +20,8 @@
 	// flows, and about packets that weren't forwarded or that companions returned.
 	routedLinesPerSecond = 20
 	failedLinesPerSecond = 60
+	// relayLinesPerSecond limits those with the counts of relayed lookups.
+	relayLinesPerSecond = 1
 )
 
 // packetPath handles datagrams of callers and companions, and owns the state for them.
@@ -29,8 +31,12 @@
 	log         *slog.Logger
 	routedLimit asynclog.Limit
 	failedLimit asynclog.Limit
+	relayLimit  asynclog.Limit
 	buffer      []byte
 	meter       *traffic.Meter
+	// relays are the counts of relayed lookups that the metrics have, and relaysLogged
+	// those of the last log line.
+	relays, relaysLogged dispatch.RelayCounts
 }
 
 func newPacketPath(e *Entry) *packetPath {
@@ -40,6 +46,7 @@
 		log:         e.lines.Logger(),
 		routedLimit: asynclog.Limit{PerSecond: routedLinesPerSecond},
 		failedLimit: asynclog.Limit{PerSecond: failedLinesPerSecond},
+		relayLimit:  asynclog.Limit{PerSecond: relayLinesPerSecond},
 		meter:       traffic.NewMeter(e.config.Metrics),
 	}
 	path.dispatcher.SetNetwork(e.config.Network)
@@ -65,6 +72,34 @@
 	path.execute(now, path.dispatcher.Continue(now))
 	path.entry.companionCount.Store(int64(path.dispatcher.Companions()))
 	metrics.GetOrRegisterGauge("flows.cached", path.entry.config.Metrics).Update(int64(path.dispatcher.Flows()))
+	path.countRelays(now)
+}
+
+// countRelays updates the counters of relayed lookups and logs what they have grown by.
+func (path *packetPath) countRelays(now time.Time) {
+	counts := path.dispatcher.Relays()
+	if counts != path.relays {
+		path.meterRelays("started", counts.Started-path.relays.Started)
+		path.meterRelays("concluded", counts.Concluded-path.relays.Concluded)
+		path.meterRelays("found", counts.Found-path.relays.Found)
+		path.meterRelays("denied", counts.Denied-path.relays.Denied)
+		path.meterRelays("repeated", counts.Repeated-path.relays.Repeated)
+		path.relays = counts
+	}
+	if counts == path.relaysLogged {
+		return
+	}
+	_, ok := path.relayLimit.Allow(now)
+	if ok {
+		before := path.relaysLogged
+		path.log.Info("relayed lookups", "started", counts.Started-before.Started, "concluded", counts.Concluded-before.Concluded,
+			"found", counts.Found-before.Found, "denied", counts.Denied-before.Denied, "repeated", counts.Repeated-before.Repeated)
+		path.relaysLogged = counts
+	}
+}
+
+func (path *packetPath) meterRelays(name string, count int) {
+	metrics.GetOrRegisterCounter("lookups.relayed."+name, path.entry.config.Metrics).Inc(int64(count))
 }
 
 func (path *packetPath) fromCaller(now time.Time, datagram []byte) {
@@ -100,6 +135,12 @@
 		if err == nil {
 			path.execute(now, path.dispatcher.HandleSurveyResult(now, d.From, result))
 		}
+	case hop.KindSurveyAnswer:
+		var number uint32
+		number, err = hop.DecodeSurveyAnswer(d.Data)
+		if err == nil {
+			path.execute(now, path.dispatcher.HandleCheckAnswer(now, d.From, number))
+		}
 	case hop.KindStatus:
 		var status passthrough.Status
 		status, err = hop.DecodeStatus(d.Data)
@@ -148,6 +189,11 @@
 			path.sendQuery(a)
 		case dispatch.Survey:
 			path.sendSurvey(a)
+		case dispatch.Relay:
+			path.sendRelay(a)
+		case dispatch.Check:
+			query := passthrough.SurveyQuery{Number: a.Survey.Number, Key: a.Survey.Key, Entry: path.entry.config.Peers}
+			path.meter.Send(path.entry.peers, hop.EncodeSurveyQuery(query), a.To)
 		case dispatch.RequestStatus:
 			path.meter.Send(path.entry.peers, hop.EncodeStatusRequest(), a.To)
 		case dispatch.Reset:
@@ -182,6 +228,16 @@
 	path.meter.Send(path.entry.peers, datagram, a.To)
 }
 
+func (path *packetPath) sendRelay(a *dispatch.Action) {
+	var err error
+	path.buffer, err = hop.AppendRelay(path.buffer[:0], passthrough.Relay{Number: a.Survey.Number, Ask: a.Survey.Ask, Packet: a.Packet.Data})
+	if err != nil {
+		path.log.Error("relay not encoded", "flow", a.Survey.Key, "error", err)
+		return
+	}
+	path.meter.Send(path.entry.peers, path.buffer, a.To)
+}
+
 func (path *packetPath) reset(a *dispatch.Action) {
 	codec := path.entry.config.Codec
 	path.meter.Send(path.entry.callers, codec.Reset(a.Packet.Key, a.ResetSeq), codec.Caller(a.Packet.Key))
