Reset flows of a replaced backend server at its companion

Cause: a companion whose server was replaced without a probe noticing kept the earlier server's flows as open. It would have answered a check of such a flow that it is held, and callers learned of the loss only from their next request. Change: with the first announcements of another server, the gate resets the flows whose last opening packet was delivered before that server started, by its reported start and by the time within which servers announce themselves. The model's servers report real starts.

--- a/passthrough/ended_test.go
+++ b/passthrough/ended_test.go
@@ -103,3 +103,46 @@
 	b.g.Expect(b.refuseConnection()).To(gomega.BeTrue())
 	b.g.Expect(b.gate.Status(b.now).Departed).To(gomega.BeTrue())
 }
+
+// Where no probe had noticed that a backend server ended, callers learned only from their
+// next request that the one which replaced it doesn't hold their flows.
+func TestFlowsOfAReplacedBackendServerAreReset(t *testing.T) {
+	for name, c := range map[string]struct {
+		// started and announced are when the new server has started and announced itself,
+		// after the flow was opened.
+		started, announced time.Duration
+		number             uint64
+		opensAgain         bool
+		resets             int
+	}{
+		"opened before the start":        {started: 5 * time.Second, announced: 6 * time.Second, number: 1, resets: 1},
+		"opened after the start":         {started: -time.Second, announced: 6 * time.Second, number: 1},
+		"opened shortly before":          {started: time.Second, announced: 1500 * time.Millisecond, number: 1},
+		"the server's clock has jumped":  {started: 5 * time.Second, announced: 6 * time.Second, number: 60},
+		"opened anew at the new server":  {started: 5 * time.Second, announced: 6 * time.Second, number: 1, opensAgain: true},
+		"the start is reported as later": {started: time.Hour, announced: time.Second, number: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			b.open(1, 5000)
+			b.send(data(1, 5001))
+			opened := b.now
+			b.advance(c.announced)
+			if c.opensAgain {
+				b.now = opened.Add(c.started + 100*time.Millisecond)
+				b.send(syn(1))
+				b.now = opened.Add(c.announced)
+			}
+			b.announce(gate.Announcement{Server: "b2", Service: "feed", Born: opened.Add(c.started).UnixMilli(), Number: c.number, Slots: 2})
+			resets := 0
+			for _, a := range b.gate.ResetFlows() {
+				if a.Kind == gate.Reset {
+					b.g.Expect(a.ResetSeq).To(gomega.Equal(uint32(5001)))
+					resets++
+				}
+			}
+			b.g.Expect(resets).To(gomega.Equal(c.resets))
+			b.g.Expect(b.gate.ResetFlows()).To(gomega.BeEmpty(), "they are reset once")
+		})
+	}
+}
--- a/passthrough/gate/caller.go
+++ b/passthrough/gate/caller.go
@@ -96,21 +96,36 @@
 	}
 }
 
-// ResetFlows resets the flows of a backend server that has ended, so that callers
-// don't wait for a timeout. The result is valid until the next call of a method.
+// ResetFlows resets the flows of a backend server that has ended or was replaced, so that
+// callers don't wait for a timeout. The result is valid until the next call of a method.
 func (g *Gate) ResetFlows() []Action {
 	g.out = g.out[:0]
-	if !g.target.Ended {
+	replaced := g.replaced
+	g.replaced = false
+	if !replaced && !g.target.Ended {
 		return g.out
 	}
 	for key, flow := range g.flows {
-		if flow.stage == stageOpen && flow.callerAcked && flow.lastSeen.Before(g.target.EndedAt) {
+		ended := g.target.Ended && flow.lastSeen.Before(g.target.EndedAt)
+		if flow.stage == stageOpen && flow.callerAcked && (ended || (replaced && g.openedBeforeStart(flow))) {
 			g.flowLost(&passthrough.Packet{Key: key, Ack: flow.callerAck}, flow)
 		}
 	}
 	return g.out
 }
 
+// openedBeforeStart reports whether the flow was opened before the backend server that runs
+// now has started, so that this server doesn't hold it. Both the reported start and the
+// time of a first announcement must show it: clocks jump, and a server may be paused
+// before it announces itself.
+func (g *Gate) openedBeforeStart(flow *gateFlow) bool {
+	if g.target.Born <= 0 || g.target.Number > maxInitialNumber {
+		return false
+	}
+	return flow.openingAt.Before(g.target.LastSeen.Add(-g.config.FirstAnnouncementLimit)) &&
+		flow.openingAt.Before(time.UnixMilli(g.target.Born).Add(-startSlack))
+}
+
 // flowLost ends a flow that the backend server no longer holds.
 func (g *Gate) flowLost(p *passthrough.Packet, flow *gateFlow) {
 	entry := flow.entry
--- a/passthrough/gate/gate.go
+++ b/passthrough/gate/gate.go
@@ -121,6 +121,9 @@
 	lookupCopy bool
 	// relayed is the relay that the copy belongs to, if any.
 	relayed relayOrigin
+	// openingAt is when the flow's last opening packet was delivered, or when the flow was
+	// first seen if none was.
+	openingAt time.Time
 	// admittedAt is when the flow was admitted here; expected is set while its first
 	// request is expected.
 	admittedAt time.Time
@@ -172,9 +175,12 @@
 	// backInService is when the data centre returned to service; zero if it never
 	// was out of service.
 	backInService time.Time
-	stopping      bool
-	lastSweep     time.Time
-	out           []Action
+	// replaced is set when another backend server has announced itself, until the flows
+	// of the earlier one are reset.
+	replaced  bool
+	stopping  bool
+	lastSweep time.Time
+	out       []Action
 	// Served, if set, is called with a flow and the time from its request to the
 	// beginning of the answer.
 	Served func(core.FlowKey, time.Duration)
@@ -263,6 +269,7 @@
 // openingPacket decides about a packet that requests a new flow, or a copy of one.
 func (g *Gate) openingPacket(now time.Time, entry netip.AddrPort, version uint64, p *passthrough.Packet, flow *gateFlow) {
 	if flow != nil {
+		flow.openingAt = now
 		g.act(Deliver, passthrough.ReasonAlreadyTried, p)
 		return
 	}
@@ -271,7 +278,7 @@
 		g.out = append(g.out, Action{Kind: Refuse, Reason: reason, To: entry, Packet: p})
 		return
 	}
-	flow = &gateFlow{stage: stageHalfOpen, entry: entry, lastSeen: now}
+	flow = &gateFlow{stage: stageHalfOpen, entry: entry, openingAt: now, lastSeen: now}
 	g.flows[p.Key] = flow
 	g.open++
 	g.expected.admitted(now, flow)
@@ -298,7 +305,7 @@
 		g.act(Drop, passthrough.ReasonNoTarget, p)
 		return
 	}
-	g.flows[p.Key] = &gateFlow{stage: stageUnconfirmed, entry: entry, lookupCopy: lookupCopy, relayed: relayed, lastSeen: now}
+	g.flows[p.Key] = &gateFlow{stage: stageUnconfirmed, entry: entry, lookupCopy: lookupCopy, relayed: relayed, openingAt: now, lastSeen: now}
 	g.act(Deliver, passthrough.ReasonUnknownFlow, p)
 }
 
--- a/passthrough/gate/server.go
+++ b/passthrough/gate/server.go
@@ -23,7 +23,7 @@
 		return g.out
 	}
 	if !known {
-		flow = &gateFlow{stage: stageOpen}
+		flow = &gateFlow{stage: stageOpen, openingAt: now}
 		g.flows[p.Key] = flow
 		g.open++
 	}
--- a/passthrough/gate/target.go
+++ b/passthrough/gate/target.go
@@ -163,6 +163,7 @@
 			g.endRequest(flow)
 		}
 		g.health = health{}
+		g.replaced = g.target.Known
 	}
 	g.target = target
 }
--- a/passthrough/model_test.go
+++ b/passthrough/model_test.go
@@ -49,6 +49,7 @@
 	// sequence number of each.
 	flows    map[core.FlowKey]uint32
 	start    int
+	born     int64
 	number   uint64
 	draining bool
 	// down is set while no backend server runs there; refused is when the last refused
@@ -105,6 +106,7 @@
 	c := m.companions[i]
 	c.start++
 	c.flows = map[core.FlowKey]uint32{}
+	c.born = m.now.UnixMilli()
 	c.draining, c.down = false, false
 	c.number = 0
 	if c.gate != nil {
@@ -157,10 +159,11 @@
 	}
 	c.number++
 	target, recorded := c.registration.Announce(m.now, gate.Announcement{
-		Server: fmt.Sprintf("b%d-%d", i, c.start), Service: "feed", Born: int64(c.start), Number: c.number, Slots: 50, Draining: c.draining,
+		Server: fmt.Sprintf("b%d-%d", i, c.start), Service: "feed", Born: c.born, Number: c.number, Slots: 50, Draining: c.draining,
 	})
 	if recorded {
 		c.gate.SetTarget(target)
+		m.gate(0, i, c.gate.ResetFlows(), 0)
 	}
 }
 
