Don't read the reply of a view's call that was given up

Cause: net/rpc may still decode the reply of a call whose context has ended, and its copying was a data race: go test -race of a restart of all processes reported it. Change: a failed call returns an empty reply. Result: go test -race -run RestartOfAll -count=2 of roles/systemtest passes (trial with the ports 28372, 28365, 28362 and 27820, since 28172 is in use on the machine).

--- a/roles/feed/feed.go
+++ b/roles/feed/feed.go
@@ -126,7 +126,11 @@
 	defer cancel()
 	var reply wire.SyncReply
 	err := client.Call(limited, wire.MethodSync, request, &reply)
-	return reply, err
+	if err != nil {
+		// A call that was given up may still decode its reply.
+		return wire.SyncReply{}, err
+	}
+	return reply, nil
 }
 
 // pick returns a random control instance, not the current one unless it is the only
