--- a/roles/systemtest/system_test.go
+++ b/roles/systemtest/system_test.go
@@ -56,6 +56,8 @@
 	servers    []*packets.Server
 	caller     *packets.Caller
 	number     uint64
+	// entryMetrics holds the metrics of each entry instance's last start.
+	entryMetrics [2]metrics.Registry
 }
 
 // runner is an instance of a role.
@@ -169,9 +171,10 @@
 }
 
 func (s *system) startEntry(i byte) *process[*entry.Entry] {
+	s.entryMetrics[i] = metrics.NewRegistry()
 	built, err := entry.New(entry.Config{
 		Instance: core.InstanceID("entry" + string('1'+i)), DataCentre: "north", Packets: entryAt(i), Peers: at(groupEntry, i+1, internalPort),
-		Seeds: s.seedAddresses, Codec: platform.Datagrams{CallerPort: callerPort}, Log: discardLog, Metrics: metrics.NewRegistry(),
+		Seeds: s.seedAddresses, Codec: platform.Datagrams{CallerPort: callerPort}, Log: discardLog, Metrics: s.entryMetrics[i],
 	})
 	return run(s.t, built, err)
 }
@@ -283,6 +286,34 @@
 	s.expectFlowsKept(flows)
 }
 
+// After a restart of all entry instances and companions no process knows the open flows.
+// They are found by relays of the callers' packets.
+func TestFlowsSurviveARestartOfAllProcesses(t *testing.T) {
+	s := start(t, 6)
+	flows := s.openAll()
+	for i := range s.entries {
+		s.entries[i].stop()
+	}
+	for i := range s.companions {
+		s.companions[i].stop()
+	}
+	for i := range s.entries {
+		s.entries[i] = s.startEntry(byte(i))
+	}
+	for i := range s.companions {
+		s.companions[i] = s.startCompanion(byte(i))
+	}
+	s.announceAll(nil)
+	s.expectFlowsKept(flows)
+	s.g.Eventually(func() int64 {
+		found := int64(0)
+		for _, registry := range s.entryMetrics {
+			found += metrics.GetOrRegisterCounter("lookups.relayed.found", registry).Count()
+		}
+		return found
+	}, settleTime, 10*time.Millisecond).Should(gomega.BeNumerically(">", 0), "the counters are updated at the next tick")
+}
+
 func TestFlowRefusedByOneServerIsOpenedAtAnother(t *testing.T) {
 	s := start(t, 2)
 	s.servers[0].Refuses.Store(true)
