Send one relay for all companions that can't tell

Cause: where no packet was held, each answer that a companion can't tell led to queries of all again: 305 messages for one flow's 61 answers. Change: only the first such answer in a scope, for a flow whose packet is held, sends a relay. Result: none, and one relay with the next packet.

--- a/passthrough/dispatch/lookup.go
+++ b/passthrough/dispatch/lookup.go
@@ -81,6 +81,8 @@
 	sentAt  time.Time
 	sent    bool
 	limited bool
+	// unsure is set once a companion in this scope couldn't tell without the packet.
+	unsure bool
 	// retryAt is when the queries without an answer are repeated.
 	retryAt time.Time
 	// scope is what companions are asked.
@@ -140,7 +142,7 @@
 	l.setScope(scopeLikely)
 }
 
-func (l *flowLookup) setScope(s scope) { l.scope, l.sent, l.repeats = s, false, 0 }
+func (l *flowLookup) setScope(s scope) { l.scope, l.sent, l.unsure, l.repeats = s, false, false, 0 }
 
 // retryLookups sends the messages that waited for their turn, and repeats those without an
 // answer, without waiting for the caller to repeat its packet. A lookup whose messages were
@@ -414,9 +416,10 @@
 		c.unsureAt = now
 	}
 	if known && c.status.Relays {
-		if flow.lookup != nil && !flow.owner.IsValid() && len(flow.lookup.relays) == 0 {
-			flow.lookup.retryAt = now
-			d.sendQueries(now, key, flow.lookup)
+		l := flow.lookup
+		if l != nil && !flow.owner.IsValid() && l.packet != nil && !l.unsure {
+			l.unsure = true
+			d.sendQueries(now, key, l)
 		}
 		return
 	}
--- a/passthrough/restart_test.go
+++ b/passthrough/restart_test.go
@@ -482,3 +482,34 @@
 		g.Expect(key).To(gomega.Equal(flowKey(i)))
 	}
 }
+
+// Each answer that a companion can't tell led to queries of all again, where the packet
+// hadn't been kept and no relay could be sent.
+func TestUnsureAnswersAreNotMultiplied(t *testing.T) {
+	const companions, flows = 61, 2100
+	g := gomega.NewWithT(t)
+	d := fleet(companions, 4)
+	for i := range companions {
+		status := fleetStatus(i, 4)
+		status.Relays = true
+		d.HandleStatus(start, status)
+	}
+	for port := range flows {
+		d.Handle(start, callerPacket(port))
+	}
+	// The packets of the others are no longer held, and lookups may send again.
+	for port := range flows - 10 {
+		d.HandleNote(start, fleetStatus(0, 4).Companion, passthrough.Note{Kind: passthrough.NoteHeld, Key: flowKey(port)})
+	}
+	later := start.Add(900 * time.Millisecond)
+	d.Continue(later)
+	sent := 0
+	for i := range companions {
+		unsure := passthrough.Note{Kind: passthrough.NoteUnsure, Key: flowKey(flows - 1)}
+		actions := d.HandleNote(later, fleetStatus(i, 4).Companion, unsure)
+		sent += len(targets(actions, dispatch.Query)) + len(targets(actions, dispatch.Relay))
+	}
+	g.Expect(sent).To(gomega.BeZero())
+	sent = len(targets(d.Handle(later, callerPacket(flows-1)), dispatch.Relay))
+	g.Expect(sent).To(gomega.Equal(1), "the next packet is held, and sent by a relay")
+}
