Examine a bounded number of lookups at a time

Cause: up to 2,048 lookups are held, and those that had nobody to ask yet (no backend server has announced itself) were examined every 60 ms, each at the cost of all companions. Change: one call of Continue examines at most 100,000 companions; lookups that had nobody to ask or that repeat get their turn in the order in which they are due. A test covers results of relays from before a pause of the entry instance.

--- a/passthrough/dispatch/lookup.go
+++ b/passthrough/dispatch/lookup.go
@@ -49,6 +49,9 @@
 	// maxNetwork is the most of a network that is counted, in bytes a second, also where
 	// it is unknown: beyond it lookups are bounded by the processor.
 	maxNetwork = 1_250_000
+	// maxExamined is how many companions are examined for the lookups that one call of
+	// Continue continues, about 2 ms: 1,600 lookups at 61 companions, 30 at 3,300.
+	maxExamined = 100_000
 	// maxHeldPackets is the most packets held while their flows are looked up: as many as
 	// relays of short packets fit the bound within holdLimit. They take 2.6 MB at most.
 	maxHeldPackets = 2048
@@ -81,6 +84,8 @@
 	sentAt  time.Time
 	sent    bool
 	limited bool
+	// idle is set while there is nobody to ask: those that haven't answered aren't ready to.
+	idle bool
 	// unsure is set once a companion in this scope couldn't tell without the packet.
 	unsure bool
 	// retryAt is when the queries without an answer are repeated.
@@ -167,24 +172,39 @@
 		d.due = append(d.due, l)
 	}
 	slices.SortFunc(d.due, compareLookups)
+	examined := 0
 	for _, l := range d.due {
-		if !d.sendQueries(now, d.active[l], l) {
+		if examined > maxExamined || !d.sendQueries(now, d.active[l], l) {
 			break
 		}
+		examined += len(d.companions)
 	}
 	clear(d.due)
 }
 
-// compareLookups orders lookups by their turn: those that wait to ask for the first time
-// before those that repeat it, the oldest first.
+// compareLookups orders lookups by their turn: those that wait to ask for the first time,
+// the oldest first; then those that repeat it, or had nobody to ask when they were last
+// examined, in the order in which they are due again.
 func compareLookups(a, b *flowLookup) int {
-	if a.sent != b.sent {
-		if a.sent {
-			return 1
-		}
+	if a.waits() && b.waits() {
+		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.order, b.order))
+	}
+	return cmp.Or(compareBools(b.waits(), a.waits()), a.retryAt.Compare(b.retryAt), cmp.Compare(a.order, b.order))
+}
+
+// waits reports whether the lookup waits to ask for the first time in its scope.
+func (l *flowLookup) waits() bool { return !l.sent && !l.idle }
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
 		return -1
 	}
-	return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.order, b.order))
 }
 
 // scopeAfter returns whom a lookup asks at least after the given time.
@@ -327,7 +347,8 @@
 		timeout = surveyLimit << min(l.repeats, maxRelayBackoff)
 	}
 	l.retryAt = now.Add(timeout)
-	if len(d.planned) == 0 {
+	l.idle = len(d.planned) == 0
+	if l.idle {
 		return true
 	}
 	if relays > 0 {
--- a/passthrough/restart_test.go
+++ b/passthrough/restart_test.go
@@ -513,3 +513,82 @@
 	sent = len(targets(d.Handle(later, callerPacket(flows-1)), dispatch.Relay))
 	g.Expect(sent).To(gomega.Equal(1), "the next packet is held, and sent by a relay")
 }
+
+// Lookups that had nobody to ask yet were examined again and again before others, at the
+// cost of all companions each.
+func TestLookupsWithNobodyToAskDelayNoOthers(t *testing.T) {
+	const companions, flows = 1000, 300
+	g := gomega.NewWithT(t)
+	d := dispatch.New(start.Add(-time.Hour), "dc0")
+	d.SetTable(restartedTable(companions))
+	report := func(announced func(i int) bool) {
+		for i := range companions {
+			status := fleetStatus(i, 4)
+			status.Relays, status.Untracked = true, true
+			if !announced(i) {
+				status.Service = ""
+			}
+			d.HandleStatus(start, status)
+		}
+	}
+	sent := map[core.FlowKey]bool{}
+	record := func(actions []dispatch.Action) {
+		for _, a := range append([]dispatch.Action(nil), actions...) {
+			if a.Kind == dispatch.Relay {
+				sent[a.Survey.Key] = true
+				d.HandleNote(start, a.Survey.Ask[0], passthrough.Note{Kind: passthrough.NoteHeld, Key: a.Survey.Key})
+			}
+		}
+	}
+	report(func(int) bool { return false })
+	for port := range flows {
+		record(d.Handle(start, callerPacket(port)))
+	}
+	now := start
+	advance := func(ticks int) {
+		for range ticks {
+			now = now.Add(50 * time.Millisecond)
+			record(d.Continue(now))
+		}
+	}
+	advance(4)
+	g.Expect(sent).To(gomega.BeEmpty())
+	report(func(int) bool { return true })
+	advance(8)
+	g.Expect(len(sent)).To(gomega.Equal(flows))
+}
+
+// An entry instance that was paused for 5 s must not take the results of relays from before
+// the pause for denials: the flow may have opened since.
+func TestResultsFromBeforeAPauseCauseNoReset(t *testing.T) {
+	const companions = 61
+	r := newRestart(t, companions, 0)
+	var results []passthrough.SurveyResult
+	var conductors []netip.AddrPort
+	answer := func(actions []dispatch.Action) {
+		for _, a := range append([]dispatch.Action(nil), actions...) {
+			if a.Kind == dispatch.Relay {
+				conductors = append(conductors, a.To)
+				results = append(results, passthrough.SurveyResult{Number: a.Survey.Number, Key: a.Survey.Key})
+			}
+		}
+	}
+	now := start.Add(time.Minute)
+	for _, c := range r.companions {
+		r.entry.HandleStatus(now, c.status)
+	}
+	r.entry.Sweep(now)
+	answer(r.entry.Handle(now, callerPacket(0)))
+	answer(r.entry.HandleSurveyResult(now, conductors[0], results[0]))
+	g := r.g
+	g.Expect(len(results)).To(gomega.BeNumerically(">", 1))
+	resumed := now.Add(5 * time.Second)
+	for i := range results {
+		g.Expect(r.entry.HandleSurveyResult(resumed, conductors[i], results[i])).To(gomega.BeEmpty())
+	}
+	// The caller repeats its packet: a new lookup begins, for which they don't count either.
+	r.entry.Handle(resumed, callerPacket(0))
+	for i := range results {
+		g.Expect(targets(r.entry.HandleSurveyResult(resumed, conductors[i], results[i]), dispatch.Reset)).To(gomega.BeEmpty())
+	}
+}
