Estimate expected time, capacity and room from measured servers

Cause: slots stood for what a server sustains, although equal servers differ by a factor of 3 to 7 in how fast they answer, and no state told whether a service has room at all.

No I/O, no clock.

--- /dev/null
+++ b/capacity/full.go
@@ -0,0 +1,71 @@
+package capacity
+
+import "time"
+
+// knownShare is the part of the servers that admit flows whose state must be known before
+// all count as full. A machine that has just died doesn't prevent the decision.
+const knownShare = 0.75
+
+// Request is what the decision whether any server can start a request depends on.
+type Request struct {
+	// Objective is the time in which the caller expects the answer; Timeout replaces it
+	// once that has passed, since a late answer still counts.
+	Objective, Timeout time.Duration
+	// Elapsed is how long the caller has waited at least.
+	Elapsed time.Duration
+	// Urgent is set for a request that overtakes those that wait.
+	Urgent bool
+}
+
+// startLimit returns how long the request may wait for a slot where it runs for the given
+// time.
+func (r Request) startLimit(run time.Duration) time.Duration {
+	limit := r.Objective - r.Elapsed - run
+	if limit <= 0 {
+		limit = r.Timeout - r.Elapsed - run
+	}
+	return limit
+}
+
+// Room tells whether a request can be started in time by any of the servers added.
+type Room struct {
+	// Servers is how many servers with known state were added, Silent how many others.
+	Servers, Silent int
+	// Slots and Running are sums over the servers with known state.
+	Slots, Running int
+	// ShortestWait is the shortest wait for a slot, and Limit how long the request may wait
+	// there.
+	ShortestWait, Limit time.Duration
+	// Age is the age of the oldest report used.
+	Age time.Duration
+	// found is set once a server can start the request in time.
+	found bool
+}
+
+// Add counts a server that the request may go to, with the age of its last report. extra
+// requests were sent there since.
+func (r *Room) Add(request Request, s Server, extra int, age time.Duration) {
+	if request.Urgent {
+		s.Running -= min(s.Waiting, s.Running)
+	}
+	wait, limit := s.WaitTime(extra), request.startLimit(s.run())
+	if wait == 0 || wait <= limit {
+		r.found = true
+	}
+	if r.Servers == 0 || wait < r.ShortestWait {
+		r.ShortestWait, r.Limit = wait, limit
+	}
+	r.Servers++
+	r.Slots += s.Slots
+	r.Running += s.Running + extra
+	r.Age = max(r.Age, age)
+}
+
+// AddSilent counts a server that the request may go to and whose state isn't known.
+func (r *Room) AddSilent() { r.Silent++ }
+
+// None reports whether no server can start the request in time.
+func (r *Room) None() bool {
+	known := float64(r.Servers) >= knownShare*float64(r.Servers+r.Silent)
+	return r.Servers > 0 && known && !r.found
+}
