Measure run times at companions and report them as a pace

Cause: entry instances know how many requests run at a backend server, but not how fast it answers.

Change: the gate measures the mean run time, also while all slots are taken, beside the interval between answers. A datagram of 13 bytes (hop.KindPace) carries both, the number waiting and the number of entry instances that have just used the companion: with each full status to its receivers, and after a change by a quarter to those instances. A measure without an answer for 5 s isn't reported any more, and all are told, since a server that was reported slow gets no flows by which its recovery could be measured. The pace isn't part of Status, so that digests stay as they are; older entry instances ignore the kind.

--- a/passthrough/gate/pace.go
+++ b/passthrough/gate/pace.go
@@ -12,6 +12,9 @@
 	paceWeight = 0.05
 	// maxPaceInterval caps one interval.
 	maxPaceInterval = time.Second
+	// paceLimit is the age of the last answer beyond which the measures aren't reported. A
+	// backend server that was slow gets no flows by which its recovery could be measured.
+	paceLimit = 5 * time.Second
 )
 
 // waitShares holds, for each urgency, the part of the time in which callers expect their answer
@@ -27,6 +30,11 @@
 	// unknown.
 	interval time.Duration
 	samples  int
+	// run is the mean run time, of runSamples samples since the backend server started;
+	// zero while unknown. measuredAt is when the last sample was added.
+	run        time.Duration
+	runSamples int
+	measuredAt time.Time
 }
 
 // answered records an answer. took is the time that it took, slots is how many requests
@@ -36,8 +44,11 @@
 	switch {
 	case !p.saturatedSince.IsZero():
 		p.add(now.Sub(p.saturatedSince))
+		// No request begins without waiting now; one that slows down must show nevertheless.
+		p.addRun(now, now.Sub(p.saturatedSince)*time.Duration(slots))
 	case !waited && slots > 0:
 		p.add(took / time.Duration(slots))
+		p.addRun(now, took)
 	}
 	p.saturatedSince = time.Time{}
 	if running > slots {
@@ -51,6 +62,25 @@
 	p.interval = smooth(p.interval, min(interval, maxPaceInterval), weight)
 }
 
+func (p *pace) addRun(now time.Time, run time.Duration) {
+	p.runSamples++
+	p.run = smooth(p.run, run, max(paceWeight, 1/float64(p.runSamples)))
+	p.measuredAt = now
+}
+
+// serverStarted forgets the run time of the backend server that ran before: one that has
+// just started is cold.
+func (p *pace) serverStarted() { p.run, p.runSamples = 0, 0 }
+
+// Pace returns what the backend server is measured to sustain.
+func (g *Gate) Pace(now time.Time) passthrough.Pace {
+	pace := passthrough.Pace{Waiting: max(g.running-g.target.Slots, 0)}
+	if g.pace.runSamples > 0 && now.Sub(g.pace.measuredAt) <= paceLimit {
+		pace.Run, pace.Interval = g.pace.run, g.pace.interval
+	}
+	return pace
+}
+
 // smooth returns the moving average after another sample of the weight.
 func smooth(mean, sample time.Duration, weight float64) time.Duration {
 	return mean + time.Duration(weight*float64(sample-mean))
--- a/passthrough/gate/report.go
+++ b/passthrough/gate/report.go
@@ -20,6 +20,15 @@
 	// senderRetention is how long after its last packet an entry instance gets reports
 	// although control doesn't list it.
 	senderRetention = 15 * time.Second
+	// paceChange is the factor by which a measured time has changed, and usersChange the
+	// same for the entry instances that use the companion, before the pace is reported again.
+	paceChange  = 1.25
+	usersChange = 2
+	// lostIntervals is how many report intervals pass after a pace was sent to all entry
+	// instances before all are told that the measures are lost. At 3,300 companions the
+	// full statuses are more frequent than that, and what an entry instance receives stays
+	// below 29 KB/s.
+	lostIntervals = 20
 )
 
 // Report is what a companion sends, and to which entry instances.
@@ -51,6 +60,11 @@
 	// last full status.
 	load   passthrough.Load
 	loadAt time.Time
+	// pace is the last one that was sent, at paceAt; paceToAllAt is when all were last
+	// sent one.
+	pace        passthrough.Pace
+	paceAt      time.Time
+	paceToAllAt time.Time
 }
 
 // NewReports returns Reports to which nothing has been sent yet.
@@ -98,6 +112,46 @@
 	}
 }
 
+// DuePace returns the pace that is due with a report, and its receivers; none if it isn't
+// due. report is the result of Due. A pace whose measures have changed goes to the entry
+// instances that have just used the companion, and one that has lost its measures to all:
+// nobody uses a companion that was reported slow.
+func (r *Reports) DuePace(now time.Time, report Report, pace passthrough.Pace, entries []netip.AddrPort, companions int) (passthrough.Pace, []netip.AddrPort) {
+	interval := intervalFor(companions)
+	recent := r.recent(now)
+	pace.Users = len(recent)
+	lost := pace.Run == 0 && r.pace.Run != 0
+	var to []netip.AddrPort
+	switch {
+	case report.Full:
+		to = report.To
+		r.paceToAllAt = now
+	case lost && now.Sub(r.paceToAllAt) >= lostIntervals*interval:
+		to = r.all(now, entries)
+		r.paceToAllAt = now
+	case !lost && len(recent) > 0 && now.Sub(r.paceAt) >= interval && paceChanged(pace, r.pace):
+		to = recent
+	default:
+		return pace, nil
+	}
+	r.pace, r.paceAt = pace, now
+	return pace, to
+}
+
+// PaceFor returns the pace for the receivers of a report that was requested.
+func (r *Reports) PaceFor(now time.Time, pace passthrough.Pace) passthrough.Pace {
+	pace.Users = len(r.recent(now))
+	return pace
+}
+
+// paceChanged reports whether a pace differs enough from the last one to be reported.
+func paceChanged(a, b passthrough.Pace) bool {
+	return differs(float64(a.Run), float64(b.Run), paceChange) || differs(float64(a.Interval), float64(b.Interval), paceChange) ||
+		differs(float64(a.Users), float64(b.Users), usersChange)
+}
+
+func differs(a, b, factor float64) bool { return max(a, b) > factor*min(a, b) }
+
 // intervalFor returns the time between two reports to all entry instances.
 func intervalFor(companions int) time.Duration {
 	return passthrough.ReportInterval * time.Duration(1+companions/passthrough.CompanionsPerInterval)
--- a/passthrough/gate/target.go
+++ b/passthrough/gate/target.go
@@ -163,6 +163,7 @@
 			g.endRequest(flow)
 		}
 		g.health = health{}
+		g.pace.serverStarted()
 	}
 	g.target = target
 }
--- a/passthrough/pace_test.go
+++ b/passthrough/pace_test.go
@@ -103,3 +103,44 @@
 	b.advance(100 * time.Millisecond)
 	b.g.Expect(b.admittedOf(200, 20)).To(gomega.Equal(abandoned))
 }
+
+// A backend server that slowed down while all its slots were taken kept its old run time:
+// no request began there without waiting.
+func TestRunTimeIsMeasuredWhileAllSlotsAreTaken(t *testing.T) {
+	b := newPaceHarness(t)
+	for port := range 20 {
+		b.exchange(port)
+	}
+	// Without an objective no flow is refused for its wait.
+	view := *table(3).View
+	view.Services = []route.Service{{Name: "feed", MaxConnections: 2000}}
+	view.Routes[0].Objective = 0
+	b.gate.SetTable(start, route.Compile(&view))
+	for port := 100; port < 106; port++ {
+		b.request(port)
+	}
+	for port := 100; port < 160; port++ {
+		b.advance(100 * time.Millisecond)
+		b.announce(announcement(uint64(port)))
+		b.answer(port, passthrough.Packet{Length: 100})
+		b.send(&passthrough.Packet{Key: flowKey(port), Flags: core.TCPRst, Ack: 5101})
+		b.request(port + 6)
+	}
+	pace := b.gate.Pace(b.now)
+	// Two slots, one answer every 100 ms.
+	b.g.Expect(pace.Run).To(gomega.BeNumerically("~", 200*time.Millisecond, 30*time.Millisecond))
+	b.g.Expect(pace.Waiting).To(gomega.Equal(4))
+	b.advance(6 * time.Second)
+	b.g.Expect(b.gate.Pace(b.now).Run).To(gomega.BeZero(), "the measure is too old")
+}
+
+// The run time of a backend server isn't that of the one that runs in its place.
+func TestRestartedBackendServerHasNoRunTime(t *testing.T) {
+	b := newPaceHarness(t)
+	b.exchange(1)
+	b.g.Expect(b.gate.Pace(b.now).Run).To(gomega.Equal(serviceTime))
+	a := announcement(1)
+	a.Server, a.Born = "b2", 200
+	b.announce(a)
+	b.g.Expect(b.gate.Pace(b.now).Run).To(gomega.BeZero())
+}
--- a/passthrough/report_test.go
+++ b/passthrough/report_test.go
@@ -24,11 +24,12 @@
 	return list
 }
 
-// loadBytes and statusBytes are the sizes of a load and of a full status with the
-// headers of UDP and IPv4.
+// loadBytes, statusBytes and paceBytes are the sizes of a load, of a full status and of a
+// pace with the headers of UDP and IPv4.
 const (
 	loadBytes   = 9 + 28
 	statusBytes = 70 + 28
+	paceBytes   = 13 + 28
 )
 
 // bytesPerSecond returns what an entry instance receives a second of so many
@@ -53,6 +54,16 @@
 			if slices.Contains(report.To, all[0]) {
 				sent += size
 			}
+			// The measured times change by more than a quarter again and again.
+			pace := passthrough.Pace{Run: time.Duration(30+i%20) * time.Millisecond}
+			if !uses && i/50%2 == 1 {
+				// No request runs there for some time.
+				pace.Run = 0
+			}
+			_, to := reports.DuePace(now, report, pace, all, companions)
+			if slices.Contains(to, all[0]) {
+				sent += paceBytes
+			}
 		}
 		if uses {
 			received += used * sent
@@ -74,7 +85,9 @@
 		newFlows = 58_000 / instances
 		limit    = 29_000
 	)
-	gomega.NewWithT(t).Expect(bytesPerSecond(companions, instances, newFlows)).To(gomega.BeNumerically("<=", limit))
+	received := bytesPerSecond(companions, instances, newFlows)
+	t.Logf("%d bytes a second", received)
+	gomega.NewWithT(t).Expect(received).To(gomega.BeNumerically("<=", limit))
 }
 
 // A change that matters for the choice reaches every entry instance at the next tick.
@@ -153,3 +166,50 @@
 	d.Handle(late, data(1, 5001))
 	g.Expect(targets(d.HandleNote(late, companionAt(1), denied), dispatch.Reset)).To(gomega.HaveLen(1), "it has departed by then")
 }
+
+// A backend server that was reported slow gets no flows, so that its recovery was never
+// measured: entry instances avoided it until the next full status, 60 s later.
+func TestLostMeasuresAreReportedToAll(t *testing.T) {
+	g := gomega.NewWithT(t)
+	reports, all, status := gate.NewReports(), entries(12), statusOf(1)
+	slow := passthrough.Pace{Run: 200 * time.Millisecond, Interval: 50 * time.Millisecond}
+	due := func(at time.Duration, pace passthrough.Pace) []netip.AddrPort {
+		now := start.Add(at)
+		_, to := reports.DuePace(now, reports.Due(now, status, all, 45), pace, all, 45)
+		return to
+	}
+	g.Expect(due(0, slow)).To(gomega.HaveLen(12), "with the full status")
+	g.Expect(due(10*time.Second, passthrough.Pace{})).To(gomega.HaveLen(12))
+	g.Expect(due(11*time.Second, passthrough.Pace{})).To(gomega.BeEmpty())
+}
+
+// A backend server that becomes slow is reported to those that use it, and a change that
+// chance explains to nobody.
+func TestChangedMeasuresAreReportedToThoseThatUseThem(t *testing.T) {
+	g := gomega.NewWithT(t)
+	reports, all, status := gate.NewReports(), entries(12), statusOf(1)
+	due := func(at time.Duration, run time.Duration) []netip.AddrPort {
+		now := start.Add(at)
+		reports.HandlePacket(now, all[3], true)
+		_, to := reports.DuePace(now, reports.Due(now, status, all, 45), passthrough.Pace{Run: run}, all, 45)
+		return to
+	}
+	due(0, 30*time.Millisecond)
+	due(time.Second, 30*time.Millisecond)
+	g.Expect(due(2*time.Second, 36*time.Millisecond)).To(gomega.BeEmpty())
+	g.Expect(due(3*time.Second, 60*time.Millisecond)).To(gomega.ConsistOf(all[3]))
+	g.Expect(due(3*time.Second+tick, 120*time.Millisecond)).To(gomega.BeEmpty(), "once in a report interval")
+}
+
+// Old processes compute the digest of a status without a pace; a digest that depended on it
+// had every old entry instance request the full status with every load.
+func TestPaceIsNotPartOfTheDigest(t *testing.T) {
+	b := newPaceHarness(t)
+	before := b.gate.Status(b.now)
+	for port := range 20 {
+		b.exchange(port)
+	}
+	after := b.gate.Status(b.now)
+	b.g.Expect(b.gate.Pace(b.now).Run).To(gomega.Equal(serviceTime))
+	b.g.Expect(after.Digest()).To(gomega.Equal(before.Digest()))
+}
--- a/roles/companion/owner.go
+++ b/roles/companion/owner.go
@@ -111,7 +111,9 @@
 func (path *packetPath) fromEntry(now time.Time, d traffic.Datagram) error {
 	switch hop.KindOf(d.Data) {
 	case hop.KindStatusRequest:
-		path.sendReport(path.reports.HandleRequest(now, d.From, path.status(now), path.companions()))
+		report := path.reports.HandleRequest(now, d.From, path.status(now), path.companions())
+		path.sendReport(report)
+		path.sendPace(path.reports.PaceFor(now, path.gate.Pace(now)), report.To)
 		return nil
 	case hop.KindSurvey, hop.KindSurveyQuery, hop.KindSurveyAnswer:
 		return path.fromSurvey(now, d)
@@ -167,7 +169,9 @@
 		path.log.Warn("health of the backend server", "server", status.Server, "failing", status.Failing, "running", status.Running,
 			"flows", status.Flows, "slots", status.Slots)
 	}
-	path.sendReport(path.reports.Due(now, status, path.state.entries, path.companions()))
+	report := path.reports.Due(now, status, path.state.entries, path.companions())
+	path.sendReport(report)
+	path.sendPace(path.reports.DuePace(now, report, path.gate.Pace(now), path.state.entries, path.companions()))
 }
 
 // companions returns how many companions the view lists.
@@ -202,6 +206,14 @@
 	}
 }
 
+// sendPace sends what the backend server is measured to sustain.
+func (path *packetPath) sendPace(pace passthrough.Pace, to []netip.AddrPort) {
+	datagram := hop.AppendPace(nil, pace)
+	for _, entry := range to {
+		path.sendToEntry(datagram, entry)
+	}
+}
+
 // requestProbe makes the control goroutine probe the backend server.
 func (path *packetPath) requestProbe() {
 	err := path.companion.loop.Post(responseOverdue{})
--- a/wire/hop/hop.go
+++ b/wire/hop/hop.go
@@ -52,6 +52,8 @@
 	KindSurveyAnswer
 	// KindSurveyResult is a passthrough.SurveyResult.
 	KindSurveyResult
+	// KindPace is a passthrough.Pace. Older entry instances count it as malformed.
+	KindPace
 )
 
 const (
@@ -60,6 +62,9 @@
 	envelopeHeaderLen = 1 + 1 + 8
 	// loadLen is the length in bytes of a load: the kind, the digest and the two counts.
 	loadLen = 1 + 4 + 2 + 2
+	// paceLen is the length in bytes of a pace: the kind, two times in microseconds and the
+	// two counts.
+	paceLen = 1 + 4 + 4 + 2 + 2
 	// MaxDatagram is the size in bytes of the largest datagram.
 	MaxDatagram = 2048
 )
@@ -209,6 +214,28 @@
 	}, nil
 }
 
+// AppendPace appends the datagram of a pace to the buffer.
+func AppendPace(buffer []byte, p passthrough.Pace) []byte {
+	buffer = append(buffer, byte(KindPace))
+	buffer = binary.BigEndian.AppendUint32(buffer, uint32(min(p.Run.Microseconds(), math.MaxUint32)))
+	buffer = binary.BigEndian.AppendUint32(buffer, uint32(min(p.Interval.Microseconds(), math.MaxUint32)))
+	buffer = binary.BigEndian.AppendUint16(buffer, uint16(min(p.Waiting, math.MaxUint16)))
+	return binary.BigEndian.AppendUint16(buffer, uint16(min(p.Users, math.MaxUint16)))
+}
+
+// DecodePace returns the pace of a datagram.
+func DecodePace(datagram []byte) (passthrough.Pace, error) {
+	if len(datagram) != paceLen {
+		return passthrough.Pace{}, errors.Errorf("pace of %d bytes instead of %d", len(datagram), paceLen)
+	}
+	return passthrough.Pace{
+		Run:      time.Duration(binary.BigEndian.Uint32(datagram[1:])) * time.Microsecond,
+		Interval: time.Duration(binary.BigEndian.Uint32(datagram[5:])) * time.Microsecond,
+		Waiting:  int(binary.BigEndian.Uint16(datagram[9:])),
+		Users:    int(binary.BigEndian.Uint16(datagram[11:])),
+	}, nil
+}
+
 // EncodeStatusRequest returns the datagram that requests a companion's full status.
 func EncodeStatusRequest() []byte { return []byte{byte(KindStatusRequest)} }
 
--- a/wire/hop/hop_test.go
+++ b/wire/hop/hop_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"zinniapulley.dev/core"
@@ -41,6 +42,20 @@
 	g.Expect(decoded).To(gomega.Equal(passthrough.Load{Digest: 5, Running: 3, Flows: 65535}), "the counts end at 16 bits")
 }
 
+// A pace of a slow or unmeasured backend server must arrive as it was sent, and the counts
+// must end at 16 bits instead of wrapping to a low one.
+func TestPaceRoundTrips(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, pace := range []passthrough.Pace{{}, {Run: 34 * time.Millisecond, Interval: 8500 * time.Microsecond, Waiting: 3, Users: 12}, {Run: time.Minute}} {
+		g.Expect(hop.DecodePace(hop.AppendPace(nil, pace))).To(gomega.Equal(pace))
+	}
+	wide, err := hop.DecodePace(hop.AppendPace(nil, passthrough.Pace{Waiting: 70000, Users: 70000}))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(wide).To(gomega.Equal(passthrough.Pace{Waiting: 65535, Users: 65535}))
+	_, err = hop.DecodePace(hop.AppendPace(nil, wide)[1:])
+	g.Expect(err).To(gomega.HaveOccurred())
+}
+
 func FuzzDecode(f *testing.F) {
 	encoded, err := hop.EncodeSurvey(passthrough.Survey{Number: 7, Key: key(), Ask: addresses()})
 	if err != nil {
@@ -50,6 +65,7 @@
 	f.Add(hop.EncodeSurveyQuery(passthrough.SurveyQuery{Number: 8, Key: key(), Entry: addresses()[0]}))
 	f.Add(hop.EncodeSurveyAnswer(9))
 	f.Add(hop.AppendLoad(nil, passthrough.Load{Digest: 5}))
+	f.Add(hop.AppendPace(nil, passthrough.Pace{Run: time.Millisecond}))
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		g := gomega.NewWithT(t)
 		survey, err := hop.DecodeSurvey(datagram)
@@ -64,5 +80,9 @@
 		}
 		_, _ = hop.DecodeSurveyAnswer(datagram)
 		_, _ = hop.DecodeLoad(datagram)
+		pace, err := hop.DecodePace(datagram)
+		if err == nil {
+			g.Expect(hop.AppendPace(nil, pace)[1:]).To(gomega.Equal(datagram[1:]))
+		}
 	})
 }
