Choose backend servers by the expected time to the answer

Cause: equal slots were taken for equal speed. With a third of 12 servers slower by 5, one request in 7 took longer than 300 ms at 64% of the capacity, while others had room. Twelve entry instances with the same old reports sent one idle server four times its share.

Change: where a backend server of a service has a measured run time, its candidates are compared by network delay, wait and run time; one without a measure counts as the median, and one whose mean is within 1.5 of the median as well, so that chance doesn't decide among equal servers. The network delay is the lowest recent time to the first response to an opening packet, by data centre. Against the herd: requests at a report count as replaced by the mean load as time passes, flows sent less than 30 ms before a report still count, and half as many are assumed to be sent by each other entry instance that uses the companion. Without measures the choice is by slots as before. The candidates are the same.

--- a/passthrough/dispatch/choice.go
+++ b/passthrough/dispatch/choice.go
@@ -17,10 +17,12 @@
 	// with one request of 30 ms a second keeps running, and as much again for the time
 	// of its answer.
 	flowWeight = 0.06
-	// remotePenalty is added to the load, in requests per slot, of a backend server in
-	// another data centre. It keeps traffic local while that costs no waiting.
+	// remotePenalty is added to the load, in requests per slot or in run times, of a backend
+	// server in another data centre to which the network delay isn't measured. It keeps
+	// traffic local while that costs no waiting.
 	remotePenalty = 0.15
-	// coldPenalty is the same for cold backend servers, which are slower.
+	// coldPenalty is the same for cold backend servers, which are slower, until their run
+	// time is measured.
 	coldPenalty = 0.5
 	// stalePenalty is the same for backend servers whose status is old or that don't
 	// respond to this entry instance.
@@ -84,7 +86,12 @@
 	d.ranked = d.ranked[:0]
 	busy := false
 	own := passthrough.UrgencyOf(p, r)
-	for _, c := range d.byService[service] {
+	state := d.byService[service]
+	if state == nil {
+		return nil, false
+	}
+	state.summarise(now)
+	for _, c := range state.companions {
 		switch {
 		case !d.canAdmit(c, flow):
 		case now.Before(c.busyUntil[own]):
@@ -187,9 +194,29 @@
 	return true
 }
 
-// load returns the load of a companion's backend server, in requests per slot, plus
-// the penalties that apply.
+// load returns what the choice compares, plus the penalties that apply. Where a backend
+// server of the service is measured, it is the expected time to the answer as a multiple of
+// the service's run time; else the load in requests per slot.
 func (d *Dispatcher) load(now time.Time, c *companion) float64 {
+	var load float64
+	if c.service.run > 0 {
+		// However long the wait, companions without a penalty come first.
+		load = min(d.estimate(now, c), stalePenalty-1)
+	} else {
+		load = d.loadPerSlot(c)
+	}
+	if c.status.Failing {
+		load += failingPenalty
+	}
+	if !c.fresh(now) || c.unreachable(now) {
+		load += stalePenalty
+	}
+	return load
+}
+
+// loadPerSlot returns the load of a backend server of a service without measures, in
+// requests per slot.
+func (d *Dispatcher) loadPerSlot(c *companion) float64 {
 	load := float64(c.status.Running+c.assigned) + flowWeight*float64(c.status.Flows)
 	load /= float64(max(c.status.Slots, 1))
 	if c.status.DataCentre != d.dataCentre {
@@ -198,11 +225,5 @@
 	if c.status.Cold {
 		load += coldPenalty
 	}
-	if c.status.Failing {
-		load += failingPenalty
-	}
-	if !c.fresh(now) || c.unreachable(now) {
-		load += stalePenalty
-	}
 	return load
 }
--- a/passthrough/dispatch/companion.go
+++ b/passthrough/dispatch/companion.go
@@ -27,19 +27,29 @@
 
 // companion is a Dispatcher's record of one companion.
 type companion struct {
-	status   passthrough.Status
-	lastSeen time.Time
+	// status, hash and busyUntil are read for every companion of a service at each choice.
+	status passthrough.Status
+	// hash is the hash of the companion's address.
+	hash uint64
+	// busyUntil is, for each urgency, until when the companion gets no flow.
+	busyUntil [passthrough.UrgencyCount]time.Time
+	lastSeen  time.Time
 	// hadService is set when the companion has named a service since its first status
 	// and hasn't departed, so that it may hold flows.
 	hadService bool
-	// hash is the hash of the companion's address.
-	hash uint64
-	// assigned counts the flows sent there since the last status.
-	assigned int
+	// assigned counts the flows sent there since the last status; unreported those that
+	// the last load can't include.
+	assigned   int
+	unreported assignments
+	// loadAt is when the load was last received.
+	loadAt time.Time
+	// pace is what its backend server was measured to sustain.
+	pace passthrough.Pace
+	// service summarises its service, and way is the network delay to its data centre.
+	service *serviceState
+	way     *way
 	// digest identifies the status.
 	digest uint32
-	// busyUntil is, for each urgency, until when the companion gets no flow.
-	busyUntil [passthrough.UrgencyCount]time.Time
 	// unansweredSince is when the first opening packet was sent there since it last
 	// responded to one; zero for none.
 	unansweredSince time.Time
@@ -47,11 +57,20 @@
 
 // fresh reports whether the companion's status counts in full.
 func (c *companion) fresh(now time.Time) bool {
-	interval := c.status.ReportInterval
-	if interval == 0 {
-		interval = passthrough.ReportInterval
+	return now.Sub(c.lastSeen) <= reportsMissed*c.interval()+reportJitter
+}
+
+// current reports whether the companion's status may be used to refuse flows.
+func (c *companion) current(now time.Time) bool {
+	return now.Sub(c.lastSeen) <= reportsMissed*c.interval()
+}
+
+// interval returns the time between two of its reports.
+func (c *companion) interval() time.Duration {
+	if c.status.ReportInterval == 0 {
+		return passthrough.ReportInterval
 	}
-	return now.Sub(c.lastSeen) <= reportsMissed*interval+reportJitter
+	return c.status.ReportInterval
 }
 
 // unreachable reports whether an opening packet that was sent there remains without a
@@ -70,8 +89,10 @@
 }
 
 // setLoad records the companion's load.
-func (c *companion) setLoad(running, flows int) {
+func (c *companion) setLoad(now time.Time, running, flows int) {
 	c.status.Running, c.status.Flows = running, flows
+	c.loadAt = now
+	c.unreported.reported(now)
 	if !c.status.Full() {
 		c.busyUntil = [passthrough.UrgencyCount]time.Time{}
 	}
@@ -80,6 +101,7 @@
 // sentOpening records that an opening packet was sent there.
 func (c *companion) sentOpening(now time.Time) {
 	c.assigned++
+	c.unreported.add(now)
 	if c.unansweredSince.IsZero() || now.Sub(c.unansweredSince) >= responseLimit+pathRetry {
 		c.unansweredSince = now
 	}
@@ -93,8 +115,11 @@
 		d.companions[status.Companion] = c
 	}
 	serviceChanged := !known || c.status.Service != status.Service
+	if !known || c.status.DataCentre != status.DataCentre {
+		c.way = d.wayTo(status.DataCentre)
+	}
 	c.status = status
-	c.setLoad(status.Running, status.Flows)
+	c.setLoad(now, status.Running, status.Flows)
 	if digest := status.Digest(); digest != c.digest {
 		// The companion or its backend server has changed, and may respond by now.
 		c.digest, c.unansweredSince = digest, time.Time{}
@@ -117,12 +142,23 @@
 		d.requestStatus(from)
 		return d.out
 	}
-	c.setLoad(load.Running, load.Flows)
+	c.setLoad(now, load.Running, load.Flows)
 	c.lastSeen = now
 	c.assigned = 0
 	return d.out
 }
 
+// HandlePace records what a companion's backend server was measured to sustain.
+func (d *Dispatcher) HandlePace(from netip.AddrPort, pace passthrough.Pace) {
+	c, known := d.companions[from]
+	if known {
+		c.pace = pace
+		if c.service.run == 0 {
+			c.service.summarisedAt = time.Time{}
+		}
+	}
+}
+
 // requestStatuses requests the statuses of listed companions that are still missing
 // after a start, so that this entry instance needn't wait until they learn of it.
 func (d *Dispatcher) requestStatuses(now time.Time) {
@@ -148,6 +184,12 @@
 func (d *Dispatcher) index() {
 	clear(d.byService)
 	for _, c := range d.companions {
-		d.byService[c.status.Service] = append(d.byService[c.status.Service], c)
+		s, known := d.byService[c.status.Service]
+		if !known {
+			s = &serviceState{}
+			d.byService[c.status.Service] = s
+		}
+		s.companions = append(s.companions, c)
+		c.service = s
 	}
 }
--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -79,6 +79,9 @@
 	sentAt    time.Time
 	admitted  bool
 	refused   bool
+	// repeated is set once the packet was sent there again, so that a response may
+	// belong to either.
+	repeated bool
 }
 
 // cachedFlow is a Dispatcher's record of one flow.
@@ -101,7 +104,8 @@
 	dataCentre core.DataCentre
 	table      *route.Table
 	companions map[netip.AddrPort]*companion
-	byService  map[core.ServiceName][]*companion
+	byService  map[core.ServiceName]*serviceState
+	ways       map[core.DataCentre]*way
 	flows      map[core.FlowKey]*cachedFlow
 	// created is when this entry instance started; started is when it began to receive
 	// statuses: its start, or the end of a pause in which it received nothing.
@@ -138,7 +142,8 @@
 		started:    now,
 		refilledAt: now,
 		companions: make(map[netip.AddrPort]*companion),
-		byService:  make(map[core.ServiceName][]*companion),
+		byService:  make(map[core.ServiceName]*serviceState),
+		ways:       make(map[core.DataCentre]*way),
 		flows:      make(map[core.FlowKey]*cachedFlow),
 		active:     make(map[*flowLookup]core.FlowKey),
 		waiting:    make(map[core.FlowKey]waitingPacket),
@@ -258,7 +263,7 @@
 	for i := range flow.attempts {
 		// One that hasn't refused may have admitted the flow.
 		if !flow.attempts[i].refused {
-			flow.attempts[i].sentAt = now
+			flow.attempts[i].sentAt, flow.attempts[i].repeated = now, true
 			d.forward(now, p, flow.attempts[i].companion, passthrough.ReasonAlreadyTried)
 			return
 		}
@@ -338,6 +343,7 @@
 		flow.busy = true
 		d.refusedBusy(now, from, p)
 	}
+	d.measureWay(now, from, flow)
 	for i := range flow.attempts {
 		if flow.attempts[i].companion == from {
 			flow.attempts[i].refused, flow.attempts[i].admitted = true, false
@@ -399,7 +405,7 @@
 func (d *Dispatcher) HandleNote(now time.Time, from netip.AddrPort, note passthrough.Note) []Action {
 	d.out = d.out[:0]
 	if c, known := d.companions[from]; known {
-		c.setLoad(note.Running, note.Flows)
+		c.setLoad(now, note.Running, note.Flows)
 		c.unansweredSince = time.Time{}
 	}
 	flow, known := d.flows[note.Key]
@@ -408,6 +414,7 @@
 	}
 	switch note.Kind {
 	case passthrough.NoteAdmitted:
+		d.measureWay(now, from, flow)
 		for i := range flow.attempts {
 			flow.attempts[i].admitted = flow.attempts[i].admitted || flow.attempts[i].companion == from
 		}
--- a/passthrough/survey_test.go
+++ b/passthrough/survey_test.go
@@ -168,8 +168,13 @@
 	}))
 }
 
-func benchmarkChoice(b *testing.B, companions int) {
+func benchmarkChoice(b *testing.B, companions int, measured bool) {
 	d := fleet(companions, 7)
+	for i := range companions {
+		if measured {
+			d.HandlePace(fleetStatus(i, 7).Companion, passthrough.Pace{Run: time.Duration(20+i%5*10) * time.Millisecond, Users: 4})
+		}
+	}
 	b.ReportAllocs()
 	port := 0
 	for b.Loop() {
@@ -180,9 +185,13 @@
 	}
 }
 
-func BenchmarkChoiceOf10(b *testing.B)   { benchmarkChoice(b, 10) }
-func BenchmarkChoiceOf109(b *testing.B)  { benchmarkChoice(b, 109) }
-func BenchmarkChoiceOf3300(b *testing.B) { benchmarkChoice(b, 3300) }
+func BenchmarkChoiceOf10(b *testing.B)   { benchmarkChoice(b, 10, false) }
+func BenchmarkChoiceOf109(b *testing.B)  { benchmarkChoice(b, 109, false) }
+func BenchmarkChoiceOf3300(b *testing.B) { benchmarkChoice(b, 3300, false) }
+
+func BenchmarkMeasuredChoiceOf10(b *testing.B)   { benchmarkChoice(b, 10, true) }
+func BenchmarkMeasuredChoiceOf109(b *testing.B)  { benchmarkChoice(b, 109, true) }
+func BenchmarkMeasuredChoiceOf3300(b *testing.B) { benchmarkChoice(b, 3300, true) }
 
 // An entry instance that had just started looked up every flow at every companion, and
 // again at each repetition, so that its network carried little else.
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -94,6 +94,12 @@
 		if err == nil {
 			path.execute(now, path.dispatcher.HandleLoad(now, d.From, load))
 		}
+	case hop.KindPace:
+		var pace passthrough.Pace
+		pace, err = hop.DecodePace(d.Data)
+		if err == nil {
+			path.dispatcher.HandlePace(d.From, pace)
+		}
 	case hop.KindSurveyResult:
 		var result passthrough.SurveyResult
 		result, err = hop.DecodeSurveyResult(d.Data)
