Refuse flows at once that no backend server can start in time

Cause: while a whole service was full, an entry instance asked six companions for each flow before it refused the flow.

Change: where the choice itself can't start the flow in time, the entry instance checks all companions of the route's services. If none can, by reports that aren't older than two intervals and reduced by what their servers have answered since, the flow isn't sent: it waits if room may come before its caller's next copy, else it is reset. This never holds within a report interval after a start or a pause, without measures, where more than a quarter of the companions are silent, or for a flow that some companion may have admitted. A flow may wait for 0.6 of its objective less the run time. Urgent flows don't count what waits. Each refusal has its figures in one bounded log line, and counters; gauges show each service's slots, rate, running, waiting, expected time and age in each data centre, which Dispatcher.Capacity returns.

--- a/capacity/full.go
+++ b/capacity/full.go
@@ -6,6 +6,12 @@
 // all count as full. A machine that has just died doesn't prevent the decision.
 const knownShare = 0.75
 
+// startShare is the part of the objective, less the run time, that a request may wait for a
+// slot. Reports are up to 0.3 s old: in the replay of an overload of 125%, with the whole
+// time allowed, 0.27 of what the slots sustain was answered in time, with 0.8 of it 0.51,
+// with 0.7 0.87 and with 0.6 all.
+const startShare = 0.6
+
 // Request is what the decision whether any server can start a request depends on.
 type Request struct {
 	// Objective is the time in which the caller expects the answer; Timeout replaces it
@@ -20,11 +26,11 @@
 // startLimit returns how long the request may wait for a slot where it runs for the given
 // time.
 func (r Request) startLimit(run time.Duration) time.Duration {
-	limit := r.Objective - r.Elapsed - run
-	if limit <= 0 {
-		limit = r.Timeout - r.Elapsed - run
+	remaining := r.Objective - r.Elapsed - run
+	if remaining <= 0 {
+		return r.Timeout - r.Elapsed - run
 	}
-	return limit
+	return min(remaining, time.Duration(startShare*float64(r.Objective-run)))
 }
 
 // Room tells whether a request can be started in time by any of the servers added.
--- a/capacity/server.go
+++ b/capacity/server.go
@@ -70,6 +70,19 @@
 	return s.Interval * time.Duration(max(s.Slots, 1))
 }
 
+// After returns the server without the requests that it may have answered in the time since
+// its report, with all slots taken. Entry instances that refuse requests because of a long
+// queue must not go on until the next report, when the queue is empty.
+func (s Server) After(age time.Duration) Server {
+	interval := s.interval()
+	if interval > 0 && age > 0 {
+		answered := min(int(age/interval), s.Running)
+		s.Running -= answered
+		s.Waiting = max(s.Waiting-answered, 0)
+	}
+	return s
+}
+
 // Rate returns how many requests it can answer a second, zero if that is unknown.
 func (s Server) Rate() float64 {
 	interval := s.interval()
--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"zinniapulley.dev/capacity"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
 	"zinniapulley.dev/route"
@@ -71,6 +72,9 @@
 	// Status and Age are what the choice of To was based on, for the log.
 	Status passthrough.Status
 	Age    time.Duration
+	// Room holds the figures by which no backend server can start the flow in time, nil
+	// otherwise.
+	Room *capacity.Room
 }
 
 // attempt is one companion that an opening packet was sent to.
@@ -129,6 +133,8 @@
 	waiting map[core.FlowKey]waitingPacket
 	// heldPackets counts the packets held while their flows are looked up.
 	heldPackets int
+	// sites is reused by Capacity.
+	sites []capacity.Site
 	// ranked, local and firsts are reused by the choices.
 	ranked, local, firsts []*companion
 	out                   []Action
@@ -239,6 +245,10 @@
 		d.exhausted(now, p, flow)
 		return
 	}
+	if room := d.noRoom(now, p, flow, r, best); room != nil {
+		d.refuseFull(now, p, flow, room)
+		return
+	}
 	d.triedAgain(p.Key)
 	best.sentOpening(now)
 	flow.attempts = append(flow.attempts, attempt{companion: best.status.Companion, sentAt: now})
@@ -260,13 +270,8 @@
 		d.reset(p, passthrough.ReasonNoCandidate)
 		return
 	}
-	for i := range flow.attempts {
-		// One that hasn't refused may have admitted the flow.
-		if !flow.attempts[i].refused {
-			flow.attempts[i].sentAt, flow.attempts[i].repeated = now, true
-			d.forward(now, p, flow.attempts[i].companion, passthrough.ReasonAlreadyTried)
-			return
-		}
+	if d.repeatOutstanding(now, p, flow) {
+		return
 	}
 	busy := flow.busy && p.Ack < callerCopies
 	d.remove(p.Key, flow)
@@ -279,6 +284,19 @@
 	d.reset(p, passthrough.ReasonAllRefused)
 }
 
+// repeatOutstanding sends an opening packet to a companion that it was sent to and that
+// hasn't refused it, and may have admitted the flow. It reports whether there is one.
+func (d *Dispatcher) repeatOutstanding(now time.Time, p *passthrough.Packet, flow *cachedFlow) bool {
+	for i := range flow.attempts {
+		if !flow.attempts[i].refused {
+			flow.attempts[i].sentAt, flow.attempts[i].repeated = now, true
+			d.forward(now, p, flow.attempts[i].companion, passthrough.ReasonAlreadyTried)
+			return true
+		}
+	}
+	return false
+}
+
 // laterPacket decides about a packet of a flow that should be open.
 func (d *Dispatcher) laterPacket(now time.Time, p *passthrough.Packet) {
 	flow, known := d.flows[p.Key]
--- /dev/null
+++ b/passthrough/dispatch/full.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"zinniapulley.dev/capacity"
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/route"
+)
+
+// copyTimes is how long after its first opening packet a caller sends each copy.
+var copyTimes = [callerCopies + 1]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
+// elapsed returns how long the caller of an opening packet has waited at least.
+func (d *Dispatcher) elapsed(now time.Time, p *passthrough.Packet) time.Duration {
+	elapsed := copyTimes[min(p.Ack, callerCopies)]
+	w, waits := d.waiting[p.Key]
+	if waits && w.packet.Ack == p.Ack {
+		elapsed += now.Sub(w.since)
+	}
+	return elapsed
+}
+
+// noRoom returns the figures by which no backend server that the flow may use can start it
+// in time, nil if one may. best is the choice, which is usually enough to tell.
+func (d *Dispatcher) noRoom(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route, best *companion) *capacity.Room {
+	if r.Objective <= 0 || best.service.run == 0 || d.paused(now) {
+		return nil
+	}
+	request := capacity.Request{Objective: r.Objective, Timeout: r.Timeout, Elapsed: d.elapsed(now, p), Urgent: passthrough.Urgent(r)}
+	var room capacity.Room
+	d.addRoom(now, &room, request, best)
+	if !room.None() {
+		return nil
+	}
+	room = capacity.Room{}
+	for _, share := range r.Shares {
+		state := d.byService[share.Service]
+		if share.Weight <= 0 || state == nil {
+			continue
+		}
+		state.summarise(now)
+		for _, c := range state.companions {
+			if d.canAdmit(c, flow) {
+				d.addRoom(now, &room, request, c)
+			}
+		}
+	}
+	if !room.None() {
+		return nil
+	}
+	return &room
+}
+
+// addRoom counts a companion that a request may go to. Its last load doesn't count if it
+// is too old, or if this entry instance has received reports for too short a time.
+func (d *Dispatcher) addRoom(now time.Time, room *capacity.Room, request capacity.Request, c *companion) {
+	if !c.current(now) || now.Sub(d.started) < c.interval() || c.status.Failing || c.unreachable(now) {
+		room.AddSilent()
+		return
+	}
+	age := now.Sub(c.loadAt)
+	room.Add(request, c.server(c.service.run).After(age), c.extra(), age)
+}
+
+// paused reports whether the process may have been paused since the last call of Sweep, so
+// that the messages handled now may be old.
+func (d *Dispatcher) paused(now time.Time) bool {
+	return !d.lastSweepCall.IsZero() && now.Sub(d.lastSweepCall) > pauseLimit
+}
+
+// refuseFull handles an opening packet that no backend server can start in time. It waits
+// if room may come before its caller's next copy.
+func (d *Dispatcher) refuseFull(now time.Time, p *passthrough.Packet, flow *cachedFlow, room *capacity.Room) {
+	if d.repeatOutstanding(now, p, flow) {
+		return
+	}
+	d.remove(p.Key, flow)
+	first := len(d.out)
+	if d.roomMayCome(p, room) {
+		d.wait(now, p, passthrough.ReasonFull)
+	} else {
+		d.stopWaiting(p.Key)
+		d.reset(p, passthrough.ReasonFull)
+	}
+	for i := first; i < len(d.out); i++ {
+		d.out[i].Room = room
+	}
+}
+
+// roomMayCome reports whether the packet can wait and a backend server may have room before
+// the caller's next copy.
+func (d *Dispatcher) roomMayCome(p *passthrough.Packet, room *capacity.Room) bool {
+	_, waits := d.waiting[p.Key]
+	if p.Ack >= callerCopies || (!waits && len(d.waiting) >= maxWaiting) {
+		return false
+	}
+	return room.ShortestWait-room.Limit <= copyTimes[p.Ack+1]-copyTimes[p.Ack]
+}
+
+// Capacity returns the state of each service and data centre, by the reports that are
+// current. The result is valid until the next call.
+func (d *Dispatcher) Capacity(now time.Time) []capacity.Site {
+	d.sites = d.sites[:0]
+	for service, state := range d.byService {
+		if service == "" {
+			continue
+		}
+		state.summarise(now)
+		first := len(d.sites)
+		for _, c := range state.companions {
+			if !c.status.Ready || d.table == nil || d.table.DataCentreOut(c.status.DataCentre) {
+				continue
+			}
+			site := d.site(first, service, c)
+			if !c.current(now) || c.status.Failing || d.paused(now) {
+				site.Silent++
+				continue
+			}
+			site.Add(c.server(state.run), c.unreported.total(), now.Sub(c.loadAt))
+		}
+	}
+	slices.SortFunc(d.sites, func(a, b capacity.Site) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.DataCentre, b.DataCentre))
+	})
+	return d.sites
+}
+
+// site returns the state that a companion counts for, among those from first on.
+func (d *Dispatcher) site(first int, service core.ServiceName, c *companion) *capacity.Site {
+	for i := first; i < len(d.sites); i++ {
+		if d.sites[i].DataCentre == c.status.DataCentre {
+			return &d.sites[i]
+		}
+	}
+	d.sites = append(d.sites, capacity.Site{Service: service, DataCentre: c.status.DataCentre, Way: c.way.delay()})
+	return &d.sites[len(d.sites)-1]
+}
--- a/passthrough/dispatch/waiting.go
+++ b/passthrough/dispatch/waiting.go
@@ -44,7 +44,7 @@
 		return
 	}
 	w := waitingPacket{packet: p.Clone(), since: now, retryAt: now, reason: reason}
-	if reason == passthrough.ReasonBusy {
+	if waitsForRoom(reason) {
 		w.retryAt = now.Add(busyRetry)
 	}
 	sameCopy := known && previous.packet.Ack == p.Ack
@@ -73,7 +73,7 @@
 				d.drop(&w.packet, w.reason)
 			}
 		case w.tried || now.Before(w.retryAt):
-		case w.reason == passthrough.ReasonBusy:
+		case waitsForRoom(w.reason):
 			busy = append(busy, w)
 		default:
 			d.openingPacket(now, &w.packet)
@@ -87,6 +87,12 @@
 	}
 }
 
+// waitsForRoom reports whether a packet that waits for the reason waits until a backend
+// server has room.
+func waitsForRoom(reason passthrough.Reason) bool {
+	return reason == passthrough.ReasonBusy || reason == passthrough.ReasonFull
+}
+
 // readySlots returns how many slots the companions have that admit new flows.
 func (d *Dispatcher) readySlots(now time.Time) int {
 	slots := 0
--- a/passthrough/packet.go
+++ b/passthrough/packet.go
@@ -79,6 +79,7 @@
 	ReasonRequest
 	ReasonFailing
 	ReasonStatusUnknown
+	ReasonFull
 
 	// ReasonCount is the number of reasons, for arrays of counters.
 	ReasonCount
@@ -92,7 +93,7 @@
 	"too many connections", "backend server refused", "flow is not here", "backend server has lost the flow",
 	"companion stops", "too many flows are sought", "reset of an unknown flow",
 	"entry instance has just started", "answer would come too late", "request begins", "requests fail there",
-	"status of the companion is missing",
+	"status of the companion is missing", "no backend server can start it in time",
 }
 
 // String returns the reason in words.
--- a/passthrough/urgency.go
+++ b/passthrough/urgency.go
@@ -24,9 +24,12 @@
 	switch {
 	case p.Ack > 0:
 		return UrgencyRepeated
-	case r.Priority <= urgentPriority:
+	case Urgent(r):
 		return UrgencyHigh
 	default:
 		return UrgencyOrdinary
 	}
 }
+
+// Urgent reports whether the route's requests go ahead of those of ordinary routes.
+func Urgent(r *route.Route) bool { return r.Priority <= urgentPriority }
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -20,6 +20,11 @@
 	// flows, and about packets that weren't forwarded or that companions returned.
 	routedLinesPerSecond = 20
 	failedLinesPerSecond = 60
+	// fullLinesPerSecond limits the lines about flows that no backend server can start in
+	// time.
+	fullLinesPerSecond = 20
+	// capacityInterval is the time between two updates of the gauges of the capacity state.
+	capacityInterval = time.Second
 )
 
 // packetPath handles datagrams of callers and companions, and owns the state for them.
@@ -29,8 +34,10 @@
 	log         *slog.Logger
 	routedLimit asynclog.Limit
 	failedLimit asynclog.Limit
+	fullLimit   asynclog.Limit
 	buffer      []byte
 	meter       *traffic.Meter
+	capacity    capacityMeter
 }
 
 func newPacketPath(e *Entry) *packetPath {
@@ -40,7 +47,9 @@
 		log:         e.lines.Logger(),
 		routedLimit: asynclog.Limit{PerSecond: routedLinesPerSecond},
 		failedLimit: asynclog.Limit{PerSecond: failedLinesPerSecond},
+		fullLimit:   asynclog.Limit{PerSecond: fullLinesPerSecond},
 		meter:       traffic.NewMeter(e.config.Metrics),
+		capacity:    newCapacityMeter(e.config.Metrics),
 	}
 	path.dispatcher.SetNetwork(e.config.Network)
 	return path
@@ -65,6 +74,9 @@
 	path.execute(now, path.dispatcher.Continue(now))
 	path.entry.companionCount.Store(int64(path.dispatcher.Companions()))
 	metrics.GetOrRegisterGauge("flows.cached", path.entry.config.Metrics).Update(int64(path.dispatcher.Flows()))
+	if path.capacity.due(now) {
+		path.capacity.update(now, path.dispatcher.Capacity(now))
+	}
 }
 
 func (path *packetPath) fromCaller(now time.Time, datagram []byte) {
@@ -204,6 +216,14 @@
 				"running", a.Status.Running, "flows", a.Status.Flows, "slots", a.Status.Slots, "statusAge", a.Age,
 				"version", path.dispatcher.Version(), "reason", a.Reason, "linesLeftOut", leftOut)
 		}
+	case a.Room != nil:
+		path.capacity.countRefusal(a)
+		leftOut, ok := path.fullLimit.Allow(now)
+		if ok {
+			path.log.Warn("flow not started", "flow", a.Packet.Key, "copy", a.Packet.Ack, "reset", a.Kind == dispatch.Reset, "waits", a.Kind == dispatch.Wait,
+				"servers", a.Room.Servers, "silent", a.Room.Silent, "slots", a.Room.Slots, "running", a.Room.Running, "shortestWait", a.Room.ShortestWait,
+				"limit", a.Room.Limit, "stateAge", a.Room.Age, "version", path.dispatcher.Version(), "reason", a.Reason, "linesLeftOut", leftOut)
+		}
 	case a.Kind == dispatch.Reset || a.Kind == dispatch.Drop || a.Kind == dispatch.Wait:
 		leftOut, ok := path.failedLimit.Allow(now)
 		if ok {
