Report first measures at once and drop those of replaced companions

Cause: right after an outage nothing is measured, and the choice is by slots; the first measures were held back for a report interval. A companion of an older version that replaces a newer one left the old pace in force.

Change: the first measures go to those that use the companion without delay, as do counts of waiting requests that have doubled. A pace counts for 150 s. The number of entry instances that use a companion counts before anything is measured too. The check for room ends at the first companion that has some. Benchmarks of measured choices let time pass.

--- a/capacity/full.go
+++ b/capacity/full.go
@@ -70,6 +70,9 @@
 // AddSilent counts a server that the request may go to and whose state isn't known.
 func (r *Room) AddSilent() { r.Silent++ }
 
+// Found reports whether a server can start the request in time.
+func (r *Room) Found() bool { return r.found }
+
 // None reports whether no server can start the request in time.
 func (r *Room) None() bool {
 	known := float64(r.Servers) >= knownShare*float64(r.Servers+r.Silent)
--- a/passthrough/dispatch/choice.go
+++ b/passthrough/dispatch/choice.go
@@ -217,7 +217,11 @@
 // loadPerSlot returns the load of a backend server of a service without measures, in
 // requests per slot.
 func (d *Dispatcher) loadPerSlot(c *companion) float64 {
-	load := float64(c.status.Running+c.assigned) + flowWeight*float64(c.status.Flows)
+	assigned := c.assigned
+	if c.pace.Users > 1 {
+		assigned = max(assigned, c.extra())
+	}
+	load := float64(c.status.Running+assigned) + flowWeight*float64(c.status.Flows)
 	load /= float64(max(c.status.Slots, 1))
 	if c.status.DataCentre != d.dataCentre {
 		load += remotePenalty
--- a/passthrough/dispatch/companion.go
+++ b/passthrough/dispatch/companion.go
@@ -21,6 +21,9 @@
 	// other flow with the same urgency or a lower one, unless it reports room: about as long
 	// as a backend server takes for a few answers.
 	busyPause = 30 * time.Millisecond
+	// paceLifetime is the age beyond which a pace doesn't count: it comes with each full
+	// status, every 60 s, unless an older version has replaced the companion.
+	paceLifetime = 150 * time.Second
 	// requestInterval is the time between two requests of missing statuses.
 	requestInterval = 200 * time.Millisecond
 )
@@ -43,8 +46,9 @@
 	unreported assignments
 	// loadAt is when the load was last received.
 	loadAt time.Time
-	// pace is what its backend server was measured to sustain.
-	pace passthrough.Pace
+	// pace is what its backend server was measured to sustain, received at paceAt.
+	pace   passthrough.Pace
+	paceAt time.Time
 	// service summarises its service, and way is the network delay to its data centre.
 	service *serviceState
 	way     *way
@@ -149,10 +153,10 @@
 }
 
 // HandlePace records what a companion's backend server was measured to sustain.
-func (d *Dispatcher) HandlePace(from netip.AddrPort, pace passthrough.Pace) {
+func (d *Dispatcher) HandlePace(now time.Time, from netip.AddrPort, pace passthrough.Pace) {
 	c, known := d.companions[from]
 	if known {
-		c.pace = pace
+		c.pace, c.paceAt = pace, now
 		if c.service.run == 0 {
 			c.service.summarisedAt = time.Time{}
 		}
--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -486,6 +486,9 @@
 	}
 	expired := false
 	for address, c := range d.companions {
+		if now.Sub(c.paceAt) > paceLifetime {
+			c.pace = passthrough.Pace{}
+		}
 		if now.Sub(c.lastSeen) > statusLimit {
 			delete(d.companions, address)
 			expired = true
--- a/passthrough/dispatch/estimate.go
+++ b/passthrough/dispatch/estimate.go
@@ -140,7 +140,7 @@
 // server returns what is known of the companion's backend server.
 func (c *companion) server(median time.Duration) capacity.Server {
 	s := capacity.Server{
-		Slots: c.status.Slots, Running: c.status.Running, Waiting: min(c.pace.Waiting, c.status.Running),
+		Slots: c.status.Slots, Running: c.status.Running, Waiting: min(c.pace.Waiting, max(c.status.Running-c.status.Slots, 0)),
 		Interval: c.pace.Interval, Run: c.pace.Run, Cold: c.status.Cold,
 	}
 	return s.Assume(median)
--- a/passthrough/dispatch/full.go
+++ b/passthrough/dispatch/full.go
@@ -44,15 +44,20 @@
 		}
 		state.summarise(now)
 		for _, c := range state.companions {
-			if d.canAdmit(c, flow) {
-				d.addRoom(now, &room, request, c)
+			if !d.canAdmit(c, flow) {
+				continue
+			}
+			d.addRoom(now, &room, request, c)
+			if room.Found() {
+				return nil
 			}
 		}
 	}
 	if !room.None() {
 		return nil
 	}
-	return &room
+	figures := room
+	return &figures
 }
 
 // addRoom counts a companion that a request may go to. Its last load doesn't count if it
--- a/passthrough/full_test.go
+++ b/passthrough/full_test.go
@@ -31,7 +31,7 @@
 		s, pace := statusOf(i), measuredPace()
 		s.Running, pace.Waiting = running, max(running-s.Slots, 0)
 		d.HandleStatus(now, s)
-		d.HandlePace(s.Companion, pace)
+		d.HandlePace(now, s.Companion, pace)
 	}
 }
 
@@ -274,7 +274,7 @@
 		s := fleetStatus(i, 7)
 		s.Running = 100 * overloaded
 		d.HandleStatus(start, s)
-		d.HandlePace(s.Companion, measuredPace())
+		d.HandlePace(start, s.Companion, measuredPace())
 	}
 	p := copyOf(1, 2)
 	b.ReportAllocs()
@@ -298,3 +298,21 @@
 	}
 	g.Expect(inTime[true]).To(gomega.BeNumerically(">=", 0.93))
 }
+
+// A companion of an older version that replaces a newer one sends no pace. What its
+// predecessor measured must not count for ever.
+func TestPaceOfAReplacedCompanionExpires(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := fullDispatcher(12, overloaded)
+	now := start
+	for now.Before(start.Add(3 * time.Minute)) {
+		now = now.Add(500 * time.Millisecond)
+		d.Sweep(now)
+		for i := 1; i <= 12; i++ {
+			s := statusOf(i)
+			s.Running = overloaded
+			d.HandleStatus(now, s)
+		}
+	}
+	g.Expect(targets(d.Handle(now, syn(1)), dispatch.Forward)).To(gomega.HaveLen(1))
+}
--- a/passthrough/gate/report.go
+++ b/passthrough/gate/report.go
@@ -20,10 +20,12 @@
 	// senderRetention is how long after its last packet an entry instance gets reports
 	// although control doesn't list it.
 	senderRetention = 15 * time.Second
-	// paceChange is the factor by which a measured time has changed, and usersChange the
-	// same for the entry instances that use the companion, before the pace is reported again.
+	// paceChange is the factor by which a measured time has changed before the pace is
+	// reported again, and countChange the same for the entry instances that use the companion
+	// and for the requests that wait, once there are more than a few.
 	paceChange  = 1.25
-	usersChange = 2
+	countChange = 2
+	fewWaiting  = 4
 	// lostIntervals is how many report intervals pass after a pace was sent to all entry
 	// instances before all are told that the measures are lost. At 3,300 companions the
 	// full statuses are more frequent than that, and what an entry instance receives stays
@@ -113,14 +115,14 @@
 }
 
 // DuePace returns the pace that is due with a report, and its receivers; none if it isn't
-// due. report is the result of Due. A pace whose measures have changed goes to the entry
-// instances that have just used the companion, and one that has lost its measures to all:
-// nobody uses a companion that was reported slow.
+// due. report is the result of Due. A pace that has changed goes to the entry instances
+// that have just used the companion, the first measures after a start without delay. One
+// that has lost its measures goes to all: nobody uses a companion that was reported slow.
 func (r *Reports) DuePace(now time.Time, report Report, pace passthrough.Pace, entries []netip.AddrPort, companions int) (passthrough.Pace, []netip.AddrPort) {
 	interval := intervalFor(companions)
 	recent := r.recent(now)
 	pace.Users = len(recent)
-	lost := pace.Run == 0 && r.pace.Run != 0
+	lost, first := pace.Run == 0 && r.pace.Run != 0, pace.Run != 0 && r.pace.Run == 0
 	var to []netip.AddrPort
 	switch {
 	case report.Full:
@@ -129,7 +131,7 @@
 	case lost && now.Sub(r.paceToAllAt) >= lostIntervals*interval:
 		to = r.all(now, entries)
 		r.paceToAllAt = now
-	case !lost && len(recent) > 0 && now.Sub(r.paceAt) >= interval && paceChanged(pace, r.pace):
+	case !lost && len(recent) > 0 && (first || now.Sub(r.paceAt) >= interval) && paceChanged(pace, r.pace):
 		to = recent
 	default:
 		return pace, nil
@@ -147,7 +149,8 @@
 // paceChanged reports whether a pace differs enough from the last one to be reported.
 func paceChanged(a, b passthrough.Pace) bool {
 	return differs(float64(a.Run), float64(b.Run), paceChange) || differs(float64(a.Interval), float64(b.Interval), paceChange) ||
-		differs(float64(a.Users), float64(b.Users), usersChange)
+		differs(float64(a.Users), float64(b.Users), countChange) ||
+		differs(float64(a.Waiting+fewWaiting), float64(b.Waiting+fewWaiting), countChange)
 }
 
 func differs(a, b, factor float64) bool { return max(a, b) > factor*min(a, b) }
--- a/passthrough/herd_test.go
+++ b/passthrough/herd_test.go
@@ -25,7 +25,7 @@
 			d.HandleStatus(start, busy)
 		}
 		for i := 1; i <= companions; i++ {
-			d.HandlePace(companionAt(i), pace)
+			d.HandlePace(start, companionAt(i), pace)
 		}
 		for flow := range flowsEach {
 			port := e*1000 + flow
@@ -57,7 +57,7 @@
 	g := gomega.NewWithT(t)
 	d := dispatcher(2)
 	for i := 1; i <= 2; i++ {
-		d.HandlePace(companionAt(i), measuredPace())
+		d.HandlePace(start, companionAt(i), measuredPace())
 	}
 	count := map[bool]int{}
 	for port := range 12 {
--- a/passthrough/model_test.go
+++ b/passthrough/model_test.go
@@ -171,7 +171,7 @@
 			for _, e := range m.entries {
 				if !m.messageLost() {
 					e.HandleStatus(m.now, status)
-					e.HandlePace(status.Companion, c.gate.Pace(m.now))
+					e.HandlePace(m.now, status.Companion, c.gate.Pace(m.now))
 				}
 			}
 		}
--- a/passthrough/survey_test.go
+++ b/passthrough/survey_test.go
@@ -168,13 +168,8 @@
 	}))
 }
 
-func benchmarkChoice(b *testing.B, companions int, measured bool) {
+func benchmarkChoice(b *testing.B, companions int) {
 	d := fleet(companions, 7)
-	for i := range companions {
-		if measured {
-			d.HandlePace(fleetStatus(i, 7).Companion, passthrough.Pace{Run: time.Duration(20+i%5*10) * time.Millisecond, Users: 4})
-		}
-	}
 	b.ReportAllocs()
 	port := 0
 	for b.Loop() {
@@ -185,13 +180,32 @@
 	}
 }
 
-func BenchmarkChoiceOf10(b *testing.B)   { benchmarkChoice(b, 10, false) }
-func BenchmarkChoiceOf109(b *testing.B)  { benchmarkChoice(b, 109, false) }
-func BenchmarkChoiceOf3300(b *testing.B) { benchmarkChoice(b, 3300, false) }
+// benchmarkMeasuredChoice chooses among companions that have reported their pace and
+// answer, as each gets 50 flows a second.
+func benchmarkMeasuredChoice(b *testing.B, companions int) {
+	d := fleet(companions, 7)
+	for i := range companions {
+		run := time.Duration(20+i%5*10) * time.Millisecond
+		d.HandlePace(start, fleetStatus(i, 7).Companion, passthrough.Pace{Run: run, Interval: run / 4, Users: 4})
+	}
+	b.ReportAllocs()
+	now, port := start, 0
+	for b.Loop() {
+		port++
+		now = now.Add(time.Second / time.Duration(50*companions))
+		p := syn(port % 60000)
+		to := d.Handle(now, p)[0].To
+		d.HandleNote(now, to, passthrough.Note{Kind: passthrough.NoteHeld, Key: p.Key, Running: port % 4})
+	}
+}
+
+func BenchmarkChoiceOf10(b *testing.B)   { benchmarkChoice(b, 10) }
+func BenchmarkChoiceOf109(b *testing.B)  { benchmarkChoice(b, 109) }
+func BenchmarkChoiceOf3300(b *testing.B) { benchmarkChoice(b, 3300) }
 
-func BenchmarkMeasuredChoiceOf10(b *testing.B)   { benchmarkChoice(b, 10, true) }
-func BenchmarkMeasuredChoiceOf109(b *testing.B)  { benchmarkChoice(b, 109, true) }
-func BenchmarkMeasuredChoiceOf3300(b *testing.B) { benchmarkChoice(b, 3300, true) }
+func BenchmarkMeasuredChoiceOf10(b *testing.B)   { benchmarkMeasuredChoice(b, 10) }
+func BenchmarkMeasuredChoiceOf109(b *testing.B)  { benchmarkMeasuredChoice(b, 109) }
+func BenchmarkMeasuredChoiceOf3300(b *testing.B) { benchmarkMeasuredChoice(b, 3300) }
 
 // An entry instance that had just started looked up every flow at every companion, and
 // again at each repetition, so that its network carried little else.
--- a/passthrough/uneven_test.go
+++ b/passthrough/uneven_test.go
@@ -74,7 +74,7 @@
 		for _, e := range r.entries {
 			e.HandleStatus(now, status)
 			if r.measured {
-				e.HandlePace(status.Companion, passthrough.Pace{Run: run, Interval: run / replaySlots, Users: len(r.entries)})
+				e.HandlePace(now, status.Companion, passthrough.Pace{Run: run, Interval: run / replaySlots, Users: len(r.entries)})
 			}
 		}
 	}
@@ -210,7 +210,7 @@
 				d.HandleStatus(now, s)
 				pace := measuredPace()
 				pace.Run += time.Duration(i%3-1) * 8 * time.Millisecond
-				d.HandlePace(s.Companion, pace)
+				d.HandlePace(now, s.Companion, pace)
 			}
 		}
 		to := targets(d.Handle(now, syn(port)), dispatch.Forward)[0]
@@ -242,7 +242,7 @@
 			s, p := statusOf(i), measuredPace()
 			change(i, &s, &p)
 			d.HandleStatus(start, s)
-			d.HandlePace(s.Companion, p)
+			d.HandlePace(start, s.Companion, p)
 		}
 	}
 	unmeasured := func(cold bool, factor int) func(d *dispatch.Dispatcher) {
@@ -293,8 +293,8 @@
 			near.Ready, near.Running = true, c.running
 			d.HandleStatus(later, near)
 			d.HandleStatus(later, far)
-			d.HandlePace(near.Companion, measuredPace())
-			d.HandlePace(far.Companion, measuredPace())
+			d.HandlePace(later, near.Companion, measuredPace())
+			d.HandlePace(later, far.Companion, measuredPace())
 			to := targets(d.Handle(later, syn(2)), dispatch.Forward)[0]
 			g.Expect(to == far.Companion).To(gomega.Equal(c.remote))
 		})
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -110,7 +110,7 @@
 		var pace passthrough.Pace
 		pace, err = hop.DecodePace(d.Data)
 		if err == nil {
-			path.dispatcher.HandlePace(d.From, pace)
+			path.dispatcher.HandlePace(now, d.From, pace)
 		}
 	case hop.KindSurveyResult:
 		var result passthrough.SurveyResult
