Replace old loads by the mean of their own data centre

Cause: the mean load over all data centres understated a full server here and overstated an idle one elsewhere, once their reports were old. Change: the mean is taken for each service and data centre. Result: TestOldLoadIsReplacedByThatOfTheDataCentre fails with one mean for all and passes.

--- a/passthrough/dispatch/companion.go
+++ b/passthrough/dispatch/companion.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
 )
 
@@ -49,8 +50,10 @@
 	// pace is what its backend server was measured to sustain, received at paceAt.
 	pace   passthrough.Pace
 	paceAt time.Time
-	// service summarises its service, and way is the network delay to its data centre.
+	// service summarises its service, site the part of that in its data centre, and way is
+	// the network delay to that.
 	service *serviceState
+	site    *siteLoad
 	way     *way
 	// digest identifies the status.
 	digest uint32
@@ -118,10 +121,11 @@
 		c = &companion{hash: xxhash.Sum64String(status.Companion.String())}
 		d.companions[status.Companion] = c
 	}
-	serviceChanged := !known || c.status.Service != status.Service
-	if !known || c.status.DataCentre != status.DataCentre {
+	moved := !known || c.status.DataCentre != status.DataCentre
+	if moved {
 		c.way = d.wayTo(status.DataCentre)
 	}
+	serviceChanged := moved || c.status.Service != status.Service
 	c.status = status
 	c.setLoad(now, status.Running, status.Flows)
 	if digest := status.Digest(); digest != c.digest {
@@ -190,10 +194,9 @@
 	for _, c := range d.companions {
 		s, known := d.byService[c.status.Service]
 		if !known {
-			s = &serviceState{}
+			s = &serviceState{sites: make(map[core.DataCentre]*siteLoad)}
 			d.byService[c.status.Service] = s
 		}
-		s.companions = append(s.companions, c)
-		c.service = s
+		s.add(c)
 	}
 }
--- a/passthrough/dispatch/estimate.go
+++ b/passthrough/dispatch/estimate.go
@@ -29,34 +29,52 @@
 	companions []*companion
 	// run is the median of the measured run times, zero if none is measured.
 	run time.Duration
-	// load is the mean number of running requests per slot.
-	load float64
+	// sites has the load in each data centre.
+	sites map[core.DataCentre]*siteLoad
 	// summarisedAt is when both were determined, zero if they must be again; runs is reused
 	// for that.
 	summarisedAt time.Time
 	runs         []time.Duration
 }
 
-// summarise determines the median run time and the mean load at intervals.
+// siteLoad is the load of a service's backend servers in one data centre.
+type siteLoad struct{ running, slots int }
+
+// perSlot returns the mean number of running requests per slot.
+func (l *siteLoad) perSlot() float64 { return float64(l.running) / float64(max(l.slots, 1)) }
+
+// add makes the companion one of the service.
+func (s *serviceState) add(c *companion) {
+	s.companions = append(s.companions, c)
+	site, known := s.sites[c.status.DataCentre]
+	if !known {
+		site = &siteLoad{}
+		s.sites[c.status.DataCentre] = site
+	}
+	c.service, c.site = s, site
+}
+
+// summarise determines the median run time and the loads at intervals.
 func (s *serviceState) summarise(now time.Time) {
 	if !s.summarisedAt.IsZero() && now.Sub(s.summarisedAt) < summaryInterval {
 		return
 	}
 	s.summarisedAt = now
 	s.runs = s.runs[:0]
-	running, slots := 0, 0
+	for _, site := range s.sites {
+		*site = siteLoad{}
+	}
 	for _, c := range s.companions {
 		if !c.status.Ready {
 			continue
 		}
-		running += c.status.Running
-		slots += c.status.Slots
+		c.site.running += c.status.Running
+		c.site.slots += c.status.Slots
 		if c.pace.Run > 0 {
 			s.runs = append(s.runs, c.pace.Run)
 		}
 	}
 	s.run = capacity.Median(s.runs)
-	s.load = float64(running) / float64(max(slots, 1))
 }
 
 // way is the measured network delay to the companions of a data centre and back.
@@ -157,11 +175,11 @@
 	state := c.service
 	s := c.server(state.run)
 	// The requests that were running at the report are replaced by others, of which there
-	// are as many as elsewhere. Without that, all entry instances send flows to a server
+	// are as many as elsewhere in the data centre. Without that, all entry instances send flows to a server
 	// that had few requests at its last report.
 	age := float64(now.Sub(c.loadAt))
 	replaced := age / (age + float64(s.ExpectedTime(0)))
-	running := float64(s.Running) + replaced*(state.load*float64(s.Slots)-float64(s.Running))
+	running := float64(s.Running) + replaced*(c.site.perSlot()*float64(s.Slots)-float64(s.Running))
 	load := running + float64(c.extra()) + flowWeight*float64(c.status.Flows)
 	expected := s.MeanTime(load) / float64(state.run)
 	if c.status.Cold && c.pace.Run == 0 {
--- a/passthrough/uneven_test.go
+++ b/passthrough/uneven_test.go
@@ -300,3 +300,27 @@
 		})
 	}
 }
+
+// Callers of one data centre may bring more load than those of another. A full server here
+// whose report is old must not count as having the mean load of all data centres.
+func TestOldLoadIsReplacedByThatOfTheDataCentre(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(0)
+	for i := 8; i > 0; i-- {
+		s := statusOf(i)
+		s.Running = 9
+		if i > 4 {
+			s.DataCentre, s.Running = otherSite, 0
+		}
+		d.HandleStatus(start, s)
+		d.HandlePace(start, s.Companion, measuredPace())
+		if i == 8 {
+			d.Handle(start, syn(100))
+			d.HandleNote(start.Add(9*time.Millisecond), s.Companion, passthrough.Note{Kind: passthrough.NoteAdmitted, Key: flowKey(100)})
+		}
+	}
+	for port := range 20 {
+		to := targets(d.Handle(start.Add(passthrough.ReportInterval), syn(port)), dispatch.Forward)[0]
+		g.Expect(to.Addr().As4()[3]).To(gomega.BeNumerically(">", 4))
+	}
+}
