--- a/passthrough/gate/report.go
+++ b/passthrough/gate/report.go
@@ -120,8 +120,7 @@
 // that has lost its measures goes to all: nobody uses a companion that was reported slow.
 func (r *Reports) DuePace(now time.Time, report Report, pace passthrough.Pace, entries []netip.AddrPort, companions int) (passthrough.Pace, []netip.AddrPort) {
 	interval := intervalFor(companions)
-	recent := r.recent(now)
-	pace.Users = len(recent)
+	pace = r.PaceFor(now, pace)
 	lost, first := pace.Run == 0 && r.pace.Run != 0, pace.Run != 0 && r.pace.Run == 0
 	var to []netip.AddrPort
 	switch {
@@ -131,8 +130,8 @@
 	case lost && now.Sub(r.paceToAllAt) >= lostIntervals*interval:
 		to = r.all(now, entries)
 		r.paceToAllAt = now
-	case !lost && len(recent) > 0 && (first || now.Sub(r.paceAt) >= interval) && paceChanged(pace, r.pace):
-		to = recent
+	case !lost && pace.Users > 0 && (first || now.Sub(r.paceAt) >= interval) && paceChanged(pace, r.pace):
+		to = r.recent(now)
 	default:
 		return pace, nil
 	}
@@ -140,9 +139,11 @@
 	return pace, to
 }
 
-// PaceFor returns the pace for the receivers of a report that was requested.
+// PaceFor returns the pace with the number of entry instances that have just used the
+// companion.
 func (r *Reports) PaceFor(now time.Time, pace passthrough.Pace) passthrough.Pace {
-	pace.Users = len(r.recent(now))
+	r.removeUnused(now)
+	pace.Users = len(r.lastOpened)
 	return pace
 }
 
@@ -174,6 +175,11 @@
 
 // recent returns the entry instances that have just used the companion.
 func (r *Reports) recent(now time.Time) []netip.AddrPort {
-	maps.DeleteFunc(r.lastOpened, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > usedRecently })
+	r.removeUnused(now)
 	return slices.Collect(maps.Keys(r.lastOpened))
 }
+
+// removeUnused removes the entry instances that haven't just used the companion.
+func (r *Reports) removeUnused(now time.Time) {
+	maps.DeleteFunc(r.lastOpened, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > usedRecently })
+}
--- a/passthrough/uneven_test.go
+++ b/passthrough/uneven_test.go
@@ -324,3 +324,27 @@
 		g.Expect(to.Addr().As4()[3]).To(gomega.BeNumerically(">", 4))
 	}
 }
+
+// A network delay that was low once must not count for ever, and single slow responses must
+// not count at all.
+func TestNetworkDelayIsTheLowestRecentOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d, now := dispatcher(1), start
+	measure := func(delay time.Duration) time.Duration {
+		now = now.Add(3 * time.Second)
+		d.HandleStatus(now, statusOf(1))
+		port := int(now.Sub(start).Seconds())
+		to := targets(d.Handle(now, syn(port)), dispatch.Forward)[0]
+		d.HandleNote(now.Add(delay), to, passthrough.Note{Kind: passthrough.NoteAdmitted, Key: flowKey(port)})
+		// A second response doesn't belong to the packet.
+		d.HandleNote(now.Add(time.Microsecond), to, passthrough.Note{Kind: passthrough.NoteAdmitted, Key: flowKey(port)})
+		return d.Capacity(now)[0].Way
+	}
+	g.Expect(measure(9 * time.Millisecond)).To(gomega.Equal(9 * time.Millisecond))
+	g.Expect(measure(5 * time.Millisecond)).To(gomega.Equal(5 * time.Millisecond))
+	g.Expect(measure(50 * time.Millisecond)).To(gomega.Equal(5 * time.Millisecond))
+	for range 6 {
+		measure(20 * time.Millisecond)
+	}
+	g.Expect(measure(20 * time.Millisecond)).To(gomega.Equal(20 * time.Millisecond))
+}
