--- a/passthrough/uneven_test.go
+++ b/passthrough/uneven_test.go
@@ -36,6 +36,9 @@
 	freeAt       [][]time.Time
 	busiest      int
 	took         []time.Duration
+	// limit is how many requests a companion admits, zero for any number; refusals counts
+	// the flows that were refused by companions.
+	limit, refusals int
 }
 
 func newReplay(entries int, slower []int, measured bool) *replay {
@@ -91,6 +94,10 @@
 		}
 		entry := r.entries[port%len(r.entries)]
 		to := targets(entry.Handle(now, syn(port)), dispatch.Forward)
+		for len(to) > 0 && r.limit > 0 && r.unanswered(now, int(to[0].Addr().As4()[3])-1) >= r.limit {
+			r.refusals++
+			to = targets(entry.HandleRefused(now, to[0], passthrough.ReasonBusy, syn(port)), dispatch.Forward)
+		}
 		if len(to) == 0 {
 			r.took = append(r.took, time.Hour)
 			continue
@@ -102,6 +109,17 @@
 	}
 }
 
+// unanswered returns how many requests are at a backend server or on their way there.
+func (r *replay) unanswered(now time.Time, server int) int {
+	count := 0
+	for _, end := range r.ends[server] {
+		if end.After(now) {
+			count++
+		}
+	}
+	return count
+}
+
 func (r *replay) deliver(now time.Time, server int) {
 	begin := now.Add(handshake)
 	slots := r.freeAt[server]
