--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -125,3 +125,25 @@
 		})
 	}
 }
+
+// A request that misses its objective even if nothing else comes must not be kept.
+func TestRoomMayComeInTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		running int
+		elapsed time.Duration
+		may     bool
+	}{
+		"soon":                     {25, 0, true},
+		"too late":                 {40, 0, false},
+		"part of the time is over": {25, 200 * time.Millisecond, false},
+		"late in any case":         {190, 600 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var room capacity.Room
+			room.Add(capacity.Request{Objective: 300 * time.Millisecond, Timeout: 2 * time.Second, Elapsed: c.elapsed}, server(c.running), 0, 0)
+			g.Expect(room.None()).To(gomega.BeTrue())
+			g.Expect(room.MayCome()).To(gomega.Equal(c.may))
+		})
+	}
+}
--- a/capacity/full.go
+++ b/capacity/full.go
@@ -24,14 +24,15 @@
 	Urgent bool
 }
 
-// startLimit returns how long the request may wait for a slot where it runs for the given
-// time.
-func (r Request) startLimit(run time.Duration) time.Duration {
-	remaining := r.Objective - r.Elapsed - run
+// startLimits returns how long the request may wait for a slot where it runs for the given
+// time, and how long it could wait if nothing else came.
+func (r Request) startLimits(run time.Duration) (limit, remaining time.Duration) {
+	remaining = r.Objective - r.Elapsed - run
 	if remaining <= 0 {
-		return r.Timeout - r.Elapsed - run
+		remaining = r.Timeout - r.Elapsed - run
+		return remaining, remaining
 	}
-	return min(remaining, time.Duration(startShare*float64(r.Objective-run)))
+	return min(remaining, time.Duration(startShare*float64(r.Objective-run))), remaining
 }
 
 // Room tells whether a request can be started in time by any of the servers added.
@@ -40,9 +41,9 @@
 	Servers, Silent int
 	// Slots and Running are sums over the servers with known state.
 	Slots, Running int
-	// ShortestWait is the shortest wait for a slot, and Limit how long the request may wait
-	// there.
-	ShortestWait, Limit time.Duration
+	// ShortestWait is the shortest wait for a slot, Limit how long the request may wait
+	// there, and Remaining how long it could wait if nothing else came.
+	ShortestWait, Limit, Remaining time.Duration
 	// Age is the age of the oldest report used.
 	Age time.Duration
 	// found is set once a server can start the request in time.
@@ -55,12 +56,13 @@
 	if request.Urgent {
 		s.Running -= min(s.Waiting, s.Running)
 	}
-	wait, limit := s.WaitTime(extra), request.startLimit(s.run())
+	wait := s.WaitTime(extra)
+	limit, remaining := request.startLimits(s.run())
 	if wait == 0 || wait <= limit {
 		r.found = true
 	}
 	if r.Servers == 0 || wait < r.ShortestWait {
-		r.ShortestWait, r.Limit = wait, limit
+		r.ShortestWait, r.Limit, r.Remaining = wait, limit, remaining
 	}
 	r.Servers++
 	r.Slots += s.Slots
@@ -79,3 +81,6 @@
 	known := float64(r.Servers) >= knownShare*float64(r.Servers+r.Silent)
 	return r.Servers > 0 && known && !r.found
 }
+
+// MayCome reports whether a server may yet have room for the request in time.
+func (r *Room) MayCome() bool { return r.ShortestWait <= r.Remaining }
--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -246,7 +246,7 @@
 		return
 	}
 	if room := d.noRoom(now, p, flow, r, best); room != nil {
-		d.refuseFull(now, p, flow, room)
+		d.refuseFull(now, p, flow, r, room)
 		return
 	}
 	d.triedAgain(p.Key)
--- a/passthrough/dispatch/full.go
+++ b/passthrough/dispatch/full.go
@@ -11,6 +11,10 @@
 	"zinniapulley.dev/route"
 )
 
+// holdShare is the part of its objective that a flow is kept for which there is no room.
+// Its caller may have better luck elsewhere, or give up, and is to be told soon.
+const holdShare = 0.25
+
 // copyTimes is how long after its first opening packet a caller sends each copy.
 var copyTimes = [callerCopies + 1]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
 
@@ -78,14 +82,14 @@
 }
 
 // refuseFull handles an opening packet that no backend server can start in time. It waits
-// if room may come before its caller's next copy.
-func (d *Dispatcher) refuseFull(now time.Time, p *passthrough.Packet, flow *cachedFlow, room *capacity.Room) {
+// for a short time if there may be room yet.
+func (d *Dispatcher) refuseFull(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route, room *capacity.Room) {
 	if d.repeatOutstanding(now, p, flow) {
 		return
 	}
 	d.remove(p.Key, flow)
 	first := len(d.out)
-	if d.roomMayCome(p, room) {
+	if d.keepForRoom(now, p, r, room) {
 		d.wait(now, p, passthrough.ReasonFull)
 	} else {
 		d.stopWaiting(p.Key)
@@ -96,14 +100,16 @@
 	}
 }
 
-// roomMayCome reports whether the packet can wait and a backend server may have room before
-// the caller's next copy.
-func (d *Dispatcher) roomMayCome(p *passthrough.Packet, room *capacity.Room) bool {
-	_, waits := d.waiting[p.Key]
-	if p.Ack >= callerCopies || (!waits && len(d.waiting) >= maxWaiting) {
+// keepForRoom reports whether the packet is kept until a backend server may have room.
+func (d *Dispatcher) keepForRoom(now time.Time, p *passthrough.Packet, r *route.Route, room *capacity.Room) bool {
+	if p.Ack >= callerCopies || !room.MayCome() {
 		return false
 	}
-	return room.ShortestWait-room.Limit <= copyTimes[p.Ack+1]-copyTimes[p.Ack]
+	w, waits := d.waiting[p.Key]
+	if !waits {
+		return len(d.waiting) < maxWaiting
+	}
+	return float64(now.Sub(w.since)) < holdShare*float64(r.Objective)
 }
 
 // Capacity returns the state of each service and data centre, by the reports that are
--- a/passthrough/dispatch/waiting.go
+++ b/passthrough/dispatch/waiting.go
@@ -18,6 +18,9 @@
 	// busyRetry is the time after which a flow that was refused by busy backend servers
 	// is tried again: a few service times.
 	busyRetry = 100 * time.Millisecond
+	// fullRetry is the same for a flow for which no backend server had room by its state,
+	// so that it is decided again at each call of Continue.
+	fullRetry = 40 * time.Millisecond
 	// settleTime is how long an entry instance waits for the statuses that it has
 	// requested at its start, unless settledShare of them have come.
 	settleTime   = 60 * time.Millisecond
@@ -44,8 +47,11 @@
 		return
 	}
 	w := waitingPacket{packet: p.Clone(), since: now, retryAt: now, reason: reason}
-	if waitsForRoom(reason) {
+	switch reason {
+	case passthrough.ReasonBusy:
 		w.retryAt = now.Add(busyRetry)
+	case passthrough.ReasonFull:
+		w.retryAt = now.Add(fullRetry)
 	}
 	sameCopy := known && previous.packet.Ack == p.Ack
 	if sameCopy {
