Count only how much farther another data centre is than the own one

Cause: the network delay to the own data centre was compared with that to others, so that tens of microseconds of scheduling decided between data centres on fast networks. Change: the own data centre costs nothing, another one the difference from 0.25 ms on.

--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -109,8 +109,10 @@
 	table      *route.Table
 	companions map[netip.AddrPort]*companion
 	byService  map[core.ServiceName]*serviceState
-	ways       map[core.DataCentre]*way
-	flows      map[core.FlowKey]*cachedFlow
+	// ways has the network delay to each data centre; ownWay is that to this one.
+	ways   map[core.DataCentre]*way
+	ownWay *way
+	flows  map[core.FlowKey]*cachedFlow
 	// created is when this entry instance started; started is when it began to receive
 	// statuses: its start, or the end of a pause in which it received nothing.
 	created time.Time
@@ -154,6 +156,7 @@
 		active:     make(map[*flowLookup]core.FlowKey),
 		waiting:    make(map[core.FlowKey]waitingPacket),
 	}
+	d.ownWay = d.wayTo(dataCentre)
 	d.SetNetwork(0)
 	return d
 }
--- a/passthrough/dispatch/estimate.go
+++ b/passthrough/dispatch/estimate.go
@@ -19,6 +19,9 @@
 	// wayPeriod is how long the lowest network delay is collected; the present and the
 	// last period count.
 	wayPeriod = 10 * time.Second
+	// wayResolution is the difference of network delays below which data centres count as
+	// equally near: processes take that long to be scheduled.
+	wayResolution = 250 * time.Microsecond
 	// tripsPerRequest is how often a new flow's first answer takes the way to the companion
 	// and back: once for its opening and once for the request.
 	tripsPerRequest = 2
@@ -185,11 +188,22 @@
 	if c.status.Cold && c.pace.Run == 0 {
 		expected += coldPenalty
 	}
-	if delay := c.way.delay(); delay > 0 {
-		return expected + tripsPerRequest*float64(delay)/float64(state.run)
-	}
 	if c.status.DataCentre != d.dataCentre {
-		expected += remotePenalty
+		expected += d.farther(c.way, state.run)
 	}
 	return expected
 }
+
+// farther returns what the way to another data centre adds to the expected time, as a
+// multiple of the run time.
+func (d *Dispatcher) farther(w *way, run time.Duration) float64 {
+	delay := w.delay()
+	if delay == 0 {
+		return remotePenalty
+	}
+	delay -= d.ownWay.delay()
+	if delay < wayResolution {
+		return 0
+	}
+	return tripsPerRequest * float64(delay) / float64(run)
+}
