--- a/passthrough/dispatch/check.go
+++ b/passthrough/dispatch/check.go
@@ -61,14 +61,14 @@
 		return
 	}
 	restarted := c.born != 0 && status.Born != 0 && c.born != status.Born
-	if c.server == status.Server && !restarted {
+	if c.serverName == status.Server && !restarted {
 		c.born = max(c.born, status.Born)
 		return
 	}
-	if c.server != "" {
+	if c.serverName != "" {
 		d.checks.changed[status.Companion] = true
 	}
-	c.server, c.born = status.Server, status.Born
+	c.serverName, c.born = status.Server, status.Born
 	c.epoch++
 }
 
--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"zinniapulley.dev/capacity"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
 	"zinniapulley.dev/route"
@@ -75,6 +76,9 @@
 	// Status and Age are what the choice of To was based on, for the log.
 	Status passthrough.Status
 	Age    time.Duration
+	// Room holds the figures by which no backend server can start the flow in time, nil
+	// otherwise.
+	Room *capacity.Room
 }
 
 // attempt is one companion that an opening packet was sent to.
@@ -83,6 +87,9 @@
 	sentAt    time.Time
 	admitted  bool
 	refused   bool
+	// repeated is set once the packet was sent there again, so that a response may
+	// belong to either.
+	repeated bool
 }
 
 // cachedFlow is a Dispatcher's record of one flow.
@@ -110,8 +117,11 @@
 	dataCentre core.DataCentre
 	table      *route.Table
 	companions map[netip.AddrPort]*companion
-	byService  map[core.ServiceName][]*companion
-	flows      map[core.FlowKey]*cachedFlow
+	byService  map[core.ServiceName]*serviceState
+	// ways has the network delay to each data centre; ownWay is that to this one.
+	ways   map[core.DataCentre]*way
+	ownWay *way
+	flows  map[core.FlowKey]*cachedFlow
 	// created is when this entry instance started; started is when it began to receive
 	// statuses: its start, or the end of a pause in which it received nothing.
 	created time.Time
@@ -141,6 +151,8 @@
 	waiting map[core.FlowKey]waitingPacket
 	// heldPackets counts the packets held while their flows are looked up.
 	heldPackets int
+	// sites is reused by Capacity.
+	sites []capacity.Site
 	// ranked, local and firsts are reused by the choices.
 	ranked, local, firsts []*companion
 	out                   []Action
@@ -154,12 +166,14 @@
 		started:    now,
 		refilledAt: now,
 		companions: make(map[netip.AddrPort]*companion),
-		byService:  make(map[core.ServiceName][]*companion),
+		byService:  make(map[core.ServiceName]*serviceState),
+		ways:       make(map[core.DataCentre]*way),
 		flows:      make(map[core.FlowKey]*cachedFlow),
 		active:     make(map[*flowLookup]core.FlowKey),
 		waiting:    make(map[core.FlowKey]waitingPacket),
 		checks:     newChecks(),
 	}
+	d.ownWay = d.wayTo(dataCentre)
 	d.SetNetwork(0)
 	return d
 }
@@ -251,6 +265,10 @@
 		d.exhausted(now, p, flow)
 		return
 	}
+	if room := d.noRoom(now, p, flow, r, best); room != nil {
+		d.refuseFull(now, p, flow, r, room)
+		return
+	}
 	d.triedAgain(p.Key)
 	best.sentOpening(now)
 	flow.attempts = append(flow.attempts, attempt{companion: best.status.Companion, sentAt: now})
@@ -272,13 +290,8 @@
 		d.reset(p, passthrough.ReasonNoCandidate)
 		return
 	}
-	for i := range flow.attempts {
-		// One that hasn't refused may have admitted the flow.
-		if !flow.attempts[i].refused {
-			flow.attempts[i].sentAt = now
-			d.forward(now, p, flow.attempts[i].companion, passthrough.ReasonAlreadyTried)
-			return
-		}
+	if d.repeatOutstanding(now, p, flow) {
+		return
 	}
 	busy := flow.busy && p.Ack < callerCopies
 	d.remove(p.Key, flow)
@@ -291,6 +304,19 @@
 	d.reset(p, passthrough.ReasonAllRefused)
 }
 
+// repeatOutstanding sends an opening packet to a companion that it was sent to and that
+// hasn't refused it, and may have admitted the flow. It reports whether there is one.
+func (d *Dispatcher) repeatOutstanding(now time.Time, p *passthrough.Packet, flow *cachedFlow) bool {
+	for i := range flow.attempts {
+		if !flow.attempts[i].refused {
+			flow.attempts[i].sentAt, flow.attempts[i].repeated = now, true
+			d.forward(now, p, flow.attempts[i].companion, passthrough.ReasonAlreadyTried)
+			return true
+		}
+	}
+	return false
+}
+
 // laterPacket decides about a packet of a flow that should be open.
 func (d *Dispatcher) laterPacket(now time.Time, p *passthrough.Packet) {
 	flow, known := d.flows[p.Key]
@@ -356,6 +382,7 @@
 		flow.busy = true
 		d.refusedBusy(now, from, p)
 	}
+	d.measureWay(now, from, flow)
 	for i := range flow.attempts {
 		if flow.attempts[i].companion == from {
 			flow.attempts[i].refused, flow.attempts[i].admitted = true, false
@@ -417,7 +444,7 @@
 func (d *Dispatcher) HandleNote(now time.Time, from netip.AddrPort, note passthrough.Note) []Action {
 	d.out = d.out[:0]
 	if c, known := d.companions[from]; known {
-		c.setLoad(note.Running, note.Flows)
+		c.setLoad(now, note.Running, note.Flows)
 		c.unansweredSince = time.Time{}
 	}
 	flow, known := d.flows[note.Key]
@@ -426,6 +453,7 @@
 	}
 	switch note.Kind {
 	case passthrough.NoteAdmitted:
+		d.measureWay(now, from, flow)
 		for i := range flow.attempts {
 			flow.attempts[i].admitted = flow.attempts[i].admitted || flow.attempts[i].companion == from
 		}
@@ -481,6 +509,9 @@
 	}
 	expired := false
 	for address, c := range d.companions {
+		if now.Sub(c.paceAt) > paceLifetime {
+			c.pace = passthrough.Pace{}
+		}
 		if now.Sub(c.lastSeen) > statusLimit {
 			delete(d.companions, address)
 			expired = true
--- a/passthrough/gate/target.go
+++ b/passthrough/gate/target.go
@@ -164,6 +164,7 @@
 		}
 		g.health = health{}
 		g.replaced = g.target.Known
+		g.pace.serverStarted()
 	}
 	g.target = target
 }
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -22,6 +22,11 @@
 	failedLinesPerSecond = 60
 	// relayLinesPerSecond limits those with the counts of relayed lookups.
 	relayLinesPerSecond = 1
+	// fullLinesPerSecond limits the lines about flows that no backend server can start in
+	// time.
+	fullLinesPerSecond = 20
+	// capacityInterval is the time between two updates of the gauges of the capacity state.
+	capacityInterval = time.Second
 )
 
 // packetPath handles datagrams of callers and companions, and owns the state for them.
@@ -32,11 +37,13 @@
 	routedLimit asynclog.Limit
 	failedLimit asynclog.Limit
 	relayLimit  asynclog.Limit
-	buffer      []byte
-	meter       *traffic.Meter
 	// relays are the counts of relayed lookups that the metrics have, and relaysLogged
 	// those of the last log line.
 	relays, relaysLogged dispatch.RelayCounts
+	fullLimit            asynclog.Limit
+	buffer               []byte
+	meter                *traffic.Meter
+	capacity             capacityMeter
 }
 
 func newPacketPath(e *Entry) *packetPath {
@@ -47,7 +54,9 @@
 		routedLimit: asynclog.Limit{PerSecond: routedLinesPerSecond},
 		failedLimit: asynclog.Limit{PerSecond: failedLinesPerSecond},
 		relayLimit:  asynclog.Limit{PerSecond: relayLinesPerSecond},
+		fullLimit:   asynclog.Limit{PerSecond: fullLinesPerSecond},
 		meter:       traffic.NewMeter(e.config.Metrics),
+		capacity:    newCapacityMeter(e.config.Metrics),
 	}
 	path.dispatcher.SetNetwork(e.config.Network)
 	return path
@@ -73,6 +82,9 @@
 	path.entry.companionCount.Store(int64(path.dispatcher.Companions()))
 	metrics.GetOrRegisterGauge("flows.cached", path.entry.config.Metrics).Update(int64(path.dispatcher.Flows()))
 	path.countRelays(now)
+	if path.capacity.due(now) {
+		path.capacity.update(now, path.dispatcher.Capacity(now))
+	}
 }
 
 // countRelays updates the counters of relayed lookups and logs what they have grown by.
@@ -129,6 +141,12 @@
 		if err == nil {
 			path.execute(now, path.dispatcher.HandleLoad(now, d.From, load))
 		}
+	case hop.KindPace:
+		var pace passthrough.Pace
+		pace, err = hop.DecodePace(d.Data)
+		if err == nil {
+			path.dispatcher.HandlePace(now, d.From, pace)
+		}
 	case hop.KindSurveyResult:
 		var result passthrough.SurveyResult
 		result, err = hop.DecodeSurveyResult(d.Data)
@@ -254,6 +272,14 @@
 				"running", a.Status.Running, "flows", a.Status.Flows, "slots", a.Status.Slots, "statusAge", a.Age,
 				"version", path.dispatcher.Version(), "reason", a.Reason, "linesLeftOut", leftOut)
 		}
+	case a.Room != nil:
+		path.capacity.countRefusal(a)
+		leftOut, ok := path.fullLimit.Allow(now)
+		if ok {
+			path.log.Warn("flow not started", "flow", a.Packet.Key, "copy", a.Packet.Ack, "reset", a.Kind == dispatch.Reset, "waits", a.Kind == dispatch.Wait,
+				"servers", a.Room.Servers, "silent", a.Room.Silent, "slots", a.Room.Slots, "running", a.Room.Running, "shortestWait", a.Room.ShortestWait,
+				"limit", a.Room.Limit, "stateAge", a.Room.Age, "version", path.dispatcher.Version(), "reason", a.Reason, "linesLeftOut", leftOut)
+		}
 	case a.Kind == dispatch.Reset || a.Kind == dispatch.Drop || a.Kind == dispatch.Wait:
 		leftOut, ok := path.failedLimit.Allow(now)
 		if ok {
