Queue opening packets at the companion until a place is free

Cause: up to FreeQueue requests per slot were delivered whoever asked, and the rest was admitted or refused by waitShares, a part of the objective for each urgency.

Change: the gate delivers at once while a place is free (slots, and what usually becomes free during a handshake), and otherwise queues or refuses what waitqueue says. The next packet is delivered in the event that frees a place, with all checks made again. Queued packets count in Status.Running and are returned when none can start here any more. A flow keeps its place from its confirmation to its first request; the place was free between two packets otherwise.

--- a/passthrough/gate/caller.go
+++ b/passthrough/gate/caller.go
@@ -52,6 +52,7 @@
 			g.health.lastProgress = now
 		}
 		g.running++
+		g.expected.remove(flow)
 		reason = passthrough.ReasonRequest
 	}
 	if (p.Flags.Has(core.TCPFin) || p.Flags.Has(core.TCPRst)) && flow.awaitingAnswer && now.Sub(flow.requestStart) > g.health.stallTimeout() {
--- a/passthrough/gate/expectation.go
+++ b/passthrough/gate/expectation.go
@@ -16,8 +16,8 @@
 )
 
 // expectations counts the flows whose first request is expected: those that were
-// admitted and that their callers will still confirm. After an outage most opening
-// packets belong to attempts that their callers have abandoned.
+// admitted and whose callers will still send it. After an outage most opening packets
+// belong to attempts that their callers have abandoned.
 type expectations struct {
 	// queue holds the admitted flows in order, from the first that may be expected.
 	queue []*gateFlow
@@ -34,14 +34,14 @@
 	e.count++
 }
 
-// confirmed records that the caller has confirmed the flow.
+// confirmed records that the caller has confirmed the flow. Its first request may come
+// with the next packet, and the flow is counted until then.
 func (e *expectations) confirmed(now time.Time, flow *gateFlow) {
 	took := now.Sub(flow.admittedAt)
 	if e.meanTime == 0 {
 		e.meanTime = took
 	}
 	e.meanTime = smooth(e.meanTime, took, confirmWeight)
-	e.remove(flow)
 }
 
 // remove stops counting the flow.
@@ -52,7 +52,7 @@
 	}
 }
 
-// expire stops counting the flows whose confirmation is overdue.
+// expire stops counting the flows whose first request is overdue.
 func (e *expectations) expire(now time.Time) {
 	limit := maxConfirmTime
 	if e.meanTime > 0 {
--- a/passthrough/gate/gate.go
+++ b/passthrough/gate/gate.go
@@ -9,6 +9,7 @@
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
 	"zinniapulley.dev/route"
+	"zinniapulley.dev/waitqueue"
 )
 
 const (
@@ -53,6 +54,9 @@
 	// MaxFlowAge is the age that no flow exceeds. A Gate that has run for longer
 	// tracks every flow; one that was started after a flow doesn't track it.
 	MaxFlowAge time.Duration
+	// RouteWeights are the routes' weights for their shares of the capacity, by name; 1 for
+	// a route that isn't listed.
+	RouteWeights map[string]float64
 }
 
 // Kind is what a companion does with a packet.
@@ -75,6 +79,8 @@
 	// AnswerSurvey tells the companion that conducts a survey that the flow isn't
 	// held here.
 	AnswerSurvey
+	// Queue keeps an opening packet until a place is free.
+	Queue
 	// Drop discards the packet.
 	Drop
 )
@@ -83,6 +89,8 @@
 type Action struct {
 	Kind   Kind
 	Reason passthrough.Reason
+	// Order is why a packet was queued or left the queue.
+	Order waitqueue.Reason
 	// To is the entry instance of Refuse, NotHeld and SendNote, and the companion
 	// of AnswerSurvey.
 	To     netip.AddrPort
@@ -92,6 +100,8 @@
 	Note     passthrough.Note
 	// SurveyNumber is the number of the query of AnswerSurvey.
 	SurveyNumber uint32
+	// Waited is how long a packet that leaves the queue was there.
+	Waited time.Duration
 }
 
 // stage is the state of a flow.
@@ -158,6 +168,11 @@
 	expected expectations
 	pace     pace
 	health   health
+	// queue orders the opening packets that wait, which queued holds.
+	queue  *waitqueue.Queue
+	queued map[core.FlowKey]*queuedPacket
+	// coldPace is the pace while the backend server is cold.
+	coldPace pace
 	// delivered holds the delivery times of the newest opening packets.
 	delivered []time.Time
 	// openingUnanswered is when the first opening packet was delivered since the
@@ -181,7 +196,10 @@
 // New returns a Gate that admits nothing until it has a view and its backend
 // server has announced itself.
 func New(now time.Time, config Config) *Gate {
-	return &Gate{config: config, started: now, flows: make(map[core.FlowKey]*gateFlow)}
+	return &Gate{
+		config: config, started: now, flows: make(map[core.FlowKey]*gateFlow),
+		queue: waitqueue.New(config.RouteWeights), queued: make(map[core.FlowKey]*queuedPacket),
+	}
 }
 
 // SetTable puts a newer view in force. It ignores an older one.
@@ -193,6 +211,7 @@
 		g.backInService = now
 	}
 	g.table = table
+	g.configureQueue()
 }
 
 // Version returns the version of the configuration in force, zero for none.
@@ -223,6 +242,9 @@
 	if known {
 		flow.entry, flow.lookupCopy, flow.lastSeen = entry, lookupCopy, now
 	}
+	if len(g.queued) > 0 && !p.Flags.Opens() {
+		g.leaveQueue(p.Key)
+	}
 	switch {
 	case p.Flags.Opens():
 		g.openingPacket(now, entry, version, p, flow)
@@ -235,6 +257,9 @@
 	default:
 		g.laterPacket(now, p, flow)
 	}
+	if len(g.queued) > 0 {
+		g.startNext(now)
+	}
 	return g.out
 }
 
@@ -260,12 +285,30 @@
 		g.act(Deliver, passthrough.ReasonAlreadyTried, p)
 		return
 	}
-	reason := g.refusalReason(now, version, p)
+	if g.requeue(now, entry, version, p) {
+		return
+	}
+	reason := g.refusalReason(now, version, p.Key)
+	if reason == passthrough.ReasonNone && !g.placeFree(now, entry, version, p) {
+		return
+	}
+	if reason == passthrough.ReasonNone {
+		reason = g.startReason(now)
+	}
 	if reason != passthrough.ReasonNone {
-		g.out = append(g.out, Action{Kind: Refuse, Reason: reason, To: entry, Packet: p})
+		g.refuse(reason, entry, p)
 		return
 	}
-	flow = &gateFlow{stage: stageHalfOpen, entry: entry, lastSeen: now}
+	g.admit(now, entry, p)
+}
+
+func (g *Gate) refuse(reason passthrough.Reason, entry netip.AddrPort, p *passthrough.Packet) {
+	g.out = append(g.out, Action{Kind: Refuse, Reason: reason, To: entry, Packet: p})
+}
+
+// admit delivers the opening packet of a new flow.
+func (g *Gate) admit(now time.Time, entry netip.AddrPort, p *passthrough.Packet) {
+	flow := &gateFlow{stage: stageHalfOpen, entry: entry, lastSeen: now}
 	g.flows[p.Key] = flow
 	g.open++
 	g.expected.admitted(now, flow)
@@ -333,6 +376,6 @@
 	if !entry.IsValid() {
 		return
 	}
-	note := passthrough.Note{Kind: kind, Key: key, Running: g.running, Flows: g.open}
+	note := passthrough.Note{Kind: kind, Key: key, Running: g.running + g.queue.Len(), Flows: g.open}
 	g.out = append(g.out, Action{Kind: SendNote, Reason: reason, To: entry, Note: note})
 }
--- a/passthrough/gate/pace.go
+++ b/passthrough/gate/pace.go
@@ -1,10 +1,6 @@
 package gate
 
-import (
-	"time"
-
-	"zinniapulley.dev/passthrough"
-)
+import "time"
 
 const (
 	// paceWeight is the weight of a new interval in the mean, once there are as many:
@@ -14,10 +10,6 @@
 	maxPaceInterval = time.Second
 )
 
-// waitShares holds, for each urgency, the part of the time in which callers expect their answer
-// that requests may wait, so that urgent ones are still admitted when others aren't.
-var waitShares = [passthrough.UrgencyCount]float64{passthrough.UrgencyRepeated: 0.2, passthrough.UrgencyOrdinary: 0.6, passthrough.UrgencyHigh: 0.9}
-
 // pace measures how often a backend server with all slots taken answers.
 type pace struct {
 	// saturatedSince is the time of the last answer after which all slots remained
@@ -55,21 +47,3 @@
 func smooth(mean, sample time.Duration, weight float64) time.Duration {
 	return mean + time.Duration(weight*float64(sample-mean))
 }
-
-// busy reports whether the first request of a new flow would wait so long that its
-// answer would miss the route's objective. Refusing it is better than delaying all
-// requests behind it. While the pace is unknown, as after a start, nothing is
-// admitted beyond the free queue.
-func (g *Gate) busy(now time.Time, p *passthrough.Packet) bool {
-	g.expected.expire(now)
-	ahead := g.running + g.expected.count
-	if ahead < passthrough.FreeQueue*g.target.Slots {
-		return false
-	}
-	r := g.table.Route(p.Key.Service)
-	if r == nil || r.Objective <= 0 {
-		return false
-	}
-	allowed := waitShares[passthrough.UrgencyOf(p, r)] * float64(r.Objective)
-	return g.pace.interval == 0 || float64(ahead)*float64(g.pace.interval) > allowed
-}
--- a/passthrough/gate/server.go
+++ b/passthrough/gate/server.go
@@ -12,18 +12,26 @@
 func (g *Gate) FromServer(now time.Time, p *passthrough.Packet) []Action {
 	g.out = g.out[:0]
 	g.serverResponded()
+	g.serverPacket(now, p)
+	g.startNext(now)
+	return g.out
+}
+
+func (g *Gate) serverPacket(now time.Time, p *passthrough.Packet) {
 	flow, known := g.flows[p.Key]
 	if p.Returned {
 		g.serverReturned(p, flow)
-		return g.out
+		return
 	}
 	if known && flow.resetsLookupCopy(p) {
 		entry := flow.entry
 		flow.stage, flow.lastSeen = stageNotHeld, now
 		g.returnPacket(entry, true, p, passthrough.ReasonNotHeld)
-		return g.out
+		return
 	}
 	if !known {
+		// An opening packet of the same addresses that waits isn't a new flow.
+		g.leaveQueue(p.Key)
 		flow = &gateFlow{stage: stageOpen}
 		g.flows[p.Key] = flow
 		g.open++
@@ -31,7 +39,6 @@
 	flow.lastSeen = now
 	g.trackServerPacket(now, p, flow)
 	g.act(Answer, passthrough.ReasonNone, p)
-	return g.out
 }
 
 // resetsLookupCopy reports whether the backend server's reset is its response to a
@@ -81,7 +88,7 @@
 	if p.Failure {
 		g.health.failure(now)
 	} else {
-		g.pace.answered(now, took, flow.waited, g.running, g.target.Slots)
+		g.paceAt(now).answered(now, took, flow.waited, g.running, g.target.Slots)
 		g.health.answered(now, took)
 	}
 	g.endRequest(flow)
--- a/passthrough/gate/target.go
+++ b/passthrough/gate/target.go
@@ -167,23 +167,27 @@
 	g.target = target
 }
 
-// refusalReason returns why the flow of an opening packet can't start here,
-// ReasonNone if it can.
-func (g *Gate) refusalReason(now time.Time, version uint64, p *passthrough.Packet) passthrough.Reason {
+// refusalReason returns why a new flow can't start here or wait for its start, ReasonNone
+// if it can.
+func (g *Gate) refusalReason(now time.Time, version uint64, key core.FlowKey) passthrough.Reason {
 	reason := g.notReadyReason(now)
 	if reason != passthrough.ReasonNone {
 		return reason
 	}
-	if !g.allows(version, p.Key) {
+	if !g.allows(version, key) {
 		return passthrough.ReasonNotAllowed
 	}
 	service := g.table.Service(g.target.Service)
 	if service != nil && service.MaxConnections > 0 && g.open >= service.MaxConnections {
 		return passthrough.ReasonConnectionLimit
 	}
-	if g.busy(now, p) {
-		return passthrough.ReasonBusy
-	}
+	return passthrough.ReasonNone
+}
+
+// startReason returns why no new flow can start at the moment, ReasonNone if one can. It
+// records a flow that starts as the probe of an unresponsive backend server, or the trial
+// of a failing one.
+func (g *Gate) startReason(now time.Time) passthrough.Reason {
 	if g.unresponsive(now) {
 		if now.Sub(g.lastProbe) < probeInterval {
 			return passthrough.ReasonUnresponsive
@@ -287,6 +291,6 @@
 	return passthrough.Status{
 		DataCentre: g.config.DataCentre, Service: g.target.Service, Server: g.target.Server,
 		Ready: ready, Departed: g.noServer(now), Cold: cold, Failing: g.health.failing(now, g.running), Slots: g.target.Slots,
-		Running: g.running, Flows: g.open,
+		Running: g.running + g.queue.Len(), Flows: g.open,
 	}
 }
--- a/passthrough/load.go
+++ b/passthrough/load.go
@@ -13,8 +13,8 @@
 	// changes.
 	ReportInterval        = 300 * time.Millisecond
 	CompanionsPerInterval = 170
-	// FreeQueue is how many requests per slot, running or expected, are admitted
-	// regardless of their wait.
+	// FreeQueue is how many requests per slot, running or waiting, a backend server has
+	// that counts as full.
 	FreeQueue = 2
 )
 
@@ -51,5 +51,5 @@
 	return Load{Digest: s.Digest(), Running: s.Running, Flows: s.Flows}
 }
 
-// Full reports whether the backend server refuses what waits longer than its free queue.
+// Full reports whether the backend server has so many requests that further ones may be refused.
 func (s *Status) Full() bool { return s.Running >= FreeQueue*s.Slots }
--- a/passthrough/packet.go
+++ b/passthrough/packet.go
@@ -79,6 +79,7 @@
 	ReasonRequest
 	ReasonFailing
 	ReasonStatusUnknown
+	ReasonQueued
 
 	// ReasonCount is the number of reasons, for arrays of counters.
 	ReasonCount
@@ -92,7 +93,7 @@
 	"too many connections", "backend server refused", "flow is not here", "backend server has lost the flow",
 	"companion stops", "too many flows are sought", "reset of an unknown flow",
 	"entry instance has just started", "answer would come too late", "request begins", "requests fail there",
-	"status of the companion is missing",
+	"status of the companion is missing", "all places taken",
 }
 
 // String returns the reason in words.
@@ -122,7 +123,8 @@
 	Failing bool
 	// Slots is how many requests the backend server runs at once.
 	Slots int
-	// Running is how many requests wait for an answer there.
+	// Running is how many requests wait for an answer there, and how many opening packets
+	// wait for a place.
 	Running int
 	// Flows is how many flows are open there.
 	Flows int
@@ -135,7 +137,7 @@
 type NoteKind uint8
 
 const (
-	// NoteAdmitted: the first packet of the flow was delivered.
+	// NoteAdmitted: the first packet of the flow was delivered, or waits for a place.
 	NoteAdmitted NoteKind = iota + 1
 	// NoteHeld: the companion holds the flow.
 	NoteHeld
