Send copies elsewhere when the companion that admitted the flow has died

Cause: a flow counted as admitted at a companion until that refused it. With opening packets that wait there, copies went to a dead companion until the attempt ended.

Change: an admitted attempt counts only while the companion's reports are fresh and it responds to opening packets.

Result: TestCopyGoesElsewhereWhenTheCompanionThatAdmittedItHasDied fails before and passes after; go test of passthrough passes.

--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -207,7 +207,7 @@
 		d.flows[p.Key] = flow
 	}
 	flow.lastSeen = now
-	active := flow.activeCompanion(now)
+	active := d.activeCompanion(now, flow)
 	if active.IsValid() {
 		d.forward(now, p, active, passthrough.ReasonAlreadyTried)
 		return
@@ -217,15 +217,22 @@
 
 // activeCompanion returns the companion that a copy of the opening packet goes to:
 // the one that admitted the flow, or one that may still answer.
-func (f *cachedFlow) activeCompanion(now time.Time) netip.AddrPort {
+func (d *Dispatcher) activeCompanion(now time.Time, f *cachedFlow) netip.AddrPort {
 	for _, a := range f.attempts {
-		if a.admitted || (!a.refused && now.Sub(a.sentAt) < retryElsewhereAfter) {
+		if (a.admitted && d.responds(now, a.companion)) || (!a.refused && now.Sub(a.sentAt) < retryElsewhereAfter) {
 			return a.companion
 		}
 	}
 	return netip.AddrPort{}
 }
 
+// responds reports whether nothing shows that the companion has died. One that has died
+// after it admitted the flow may have kept the opening packet waiting.
+func (d *Dispatcher) responds(now time.Time, at netip.AddrPort) bool {
+	c, known := d.companions[at]
+	return known && c.fresh(now) && !c.unreachable(now)
+}
+
 // tryNext sends the flow to the best companion that it wasn't sent to before.
 func (d *Dispatcher) tryNext(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route) {
 	best, busy := d.choose(now, p, flow, r)
@@ -343,7 +350,7 @@
 			flow.attempts[i].refused, flow.attempts[i].admitted = true, false
 		}
 	}
-	if flow.activeCompanion(now).IsValid() {
+	if d.activeCompanion(now, flow).IsValid() {
 		return d.out
 	}
 	r := d.table.Route(p.Key.Service)
--- a/passthrough/dispatcher_test.go
+++ b/passthrough/dispatcher_test.go
@@ -462,3 +462,21 @@
 	d.HandleNote(start.Add(1500*time.Millisecond), cut, passthrough.Note{Kind: passthrough.NoteAdmitted, Key: flowKey(20)})
 	g.Expect(chosen(start.Add(1700*time.Millisecond), 21)).To(gomega.Equal(cut), "it has responded")
 }
+
+// A companion that died with opening packets waiting was sent their copies too, and the
+// callers got no answer until their attempts ended.
+func TestCopyGoesElsewhereWhenTheCompanionThatAdmittedItHasDied(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(5)
+	first := targets(d.Handle(start, syn(1)), dispatch.Forward)
+	d.HandleNote(start, first[0], passthrough.Note{Kind: passthrough.NoteAdmitted, Key: flowKey(1)})
+	later := start.Add(800 * time.Millisecond)
+	for i := 1; i <= 5; i++ {
+		if companionAt(i) != first[0] {
+			d.HandleStatus(later, statusOf(i))
+		}
+	}
+	second := targets(d.Handle(later, syn(1)), dispatch.Forward)
+	g.Expect(second).To(gomega.HaveLen(1))
+	g.Expect(second).NotTo(gomega.Equal(first))
+}
