Log and measure the queue of opening packets

Change: bounded log lines for packets that are queued and that leave the queue, a gauge of its length, a histogram of the waits, and counters by reason. A shutdown returns what waits.

--- a/roles/companion/owner.go
+++ b/roles/companion/owner.go
@@ -50,9 +50,15 @@
 	buffer   []byte
 	reports  *gate.Reports
 	surveys  *gate.Surveys
+	// fullTickDue is when all of the work of a tick is due again; while packets wait, ticks
+	// are more frequent.
+	fullTickDue time.Time
+	// stopped is set once the gate has been stopped.
+	stopped bool
 	// failing is whether requests failed or stalled at the last tick.
 	failing bool
 	meter   *traffic.Meter
+	queue   queueMeter
 }
 
 func newPacketPath(c *Companion) *packetPath {
@@ -70,6 +76,7 @@
 		reports:       gate.NewReports(),
 		surveys:       gate.NewSurveys(),
 		meter:         traffic.NewMeter(registry),
+		queue:         newQueueMeter(registry),
 	}
 	served := metrics.GetOrRegisterHistogram("requests.microseconds", registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	path.gate.Served = func(key core.FlowKey, took time.Duration) {
@@ -82,6 +89,11 @@
 // refresh applies the newest state published by the control goroutine.
 func (path *packetPath) refresh(now time.Time) {
 	path.now = now
+	if path.companion.stopping.Load() && !path.stopped {
+		path.stopped = true
+		path.gate.Stop()
+		path.execute(now, path.gate.Continue(now))
+	}
 	s := path.companion.state.Load()
 	if s == path.state {
 		return
@@ -92,6 +104,7 @@
 	}
 	path.gate.SetTarget(s.target)
 	path.execute(now, path.gate.ResetFlows())
+	path.execute(now, path.gate.Continue(now))
 }
 
 // Handle processes one datagram.
@@ -147,13 +160,16 @@
 	return nil
 }
 
-// Tick removes expired state, requests a probe if a response is overdue, and sends the
-// entry instances the report that is due.
+// Tick continues with the packets that wait. At tickInterval it also removes expired state,
+// requests a probe if a response is overdue, and sends the entry instances the report that
+// is due.
 func (path *packetPath) Tick(now time.Time) {
 	path.refresh(now)
-	if path.companion.stopping.Load() {
-		path.gate.Stop()
+	path.execute(now, path.gate.Continue(now))
+	if now.Before(path.fullTickDue) {
+		return
 	}
+	path.fullTickDue = now.Add(tickInterval - queueTickInterval/2)
 	path.gate.Sweep(now)
 	for _, finished := range path.surveys.Expire(now) {
 		path.sendResult(finished)
@@ -231,10 +247,12 @@
 			path.sendNote(a)
 		case gate.AnswerSurvey:
 			path.meter.Send(path.companion.peers, hop.EncodeSurveyAnswer(a.SurveyNumber), a.To)
-		case gate.Drop:
+		case gate.Queue, gate.Drop:
 		}
 		path.logAction(now, a)
+		path.recordQueue(now, a)
 	}
+	path.queue.length.Update(int64(path.gate.Queued()))
 }
 
 // requestBegan records the identity of a request for later log lines about its flow.
@@ -297,7 +315,7 @@
 	switch {
 	case a.Kind == gate.Deliver && a.Reason == passthrough.ReasonRequest:
 		path.requestBegan(now, a)
-	case a.Kind == gate.SendNote && a.Note.Kind == passthrough.NoteAdmitted:
+	case a.Kind == gate.SendNote && a.Note.Kind == passthrough.NoteAdmitted && a.Reason == passthrough.ReasonAdmitted:
 		leftOut, ok := path.admittedLimit.Allow(now)
 		if ok {
 			path.log.Info("flow admitted", "flow", a.Note.Key, "entry", a.To, "server", path.state.target.Server, "running", a.Note.Running,
--- a/roles/traffic/traffic.go
+++ b/roles/traffic/traffic.go
@@ -38,6 +38,12 @@
 	Tick(now time.Time)
 }
 
+// TickAdjuster is implemented by a Handler that needs another tick interval at times.
+type TickAdjuster interface {
+	// TickInterval returns the interval that is needed now.
+	TickInterval() time.Duration
+}
+
 // Listen opens a UDP socket.
 func Listen(address netip.AddrPort) (*net.UDPConn, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
@@ -59,7 +65,12 @@
 	}()
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
+	adjuster, adjusts := handler.(TickAdjuster)
 	for {
+		if adjusts && adjuster.TickInterval() != interval {
+			interval = adjuster.TickInterval()
+			ticker.Reset(interval)
+		}
 		select {
 		case <-ctx.Done():
 			return
