--- a/cmd/zinniapulley/check_test.go
+++ b/cmd/zinniapulley/check_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/alecthomas/kong"
 	"github.com/onsi/gomega"
 )
 
@@ -27,6 +28,8 @@
 	for name, c := range map[string]struct{ from, to, problem string }{
 		"unknown command":   {"platform control", "platform controll", "roles.control.run"},
 		"unknown flag":      {"platform entry --metrics-port", "platform entry --metric-port", "roles.entry.run"},
+		"weight of zero":    {"platform companion --metrics-port", "platform companion --route-weight=reads=0 --metrics-port", `weight 0 of route "reads"`},
+		"no weight":         {"platform companion --metrics-port", "platform companion --route-weight=reads --metrics-port", "route-weight"},
 		"another port":      {"entry --metrics-port=9464", "entry --metrics-port=9465", "roles.entry.metrics"},
 		"nobody serves":     {`serves = ["side"]`, "", `none serves "side"`},
 		"unknown interface": {`serves = ["side"]`, `serves = ["sides"]`, "roles.companion.serves"},
@@ -46,3 +49,14 @@
 		})
 	}
 }
+
+// An operator names the routes that get more than an equal share, one flag for each.
+func TestRouteWeightsAreRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var parsed commands
+	parser, err := kong.New(&parsed, kong.Name("zinniapulley"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = parser.Parse([]string{"platform", "companion", "--route-weight=reads=2.5", "--route-weight=writes=1"})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(parsed.Platform.Companion.RouteWeight).To(gomega.Equal(map[string]float64{"reads": 2.5, "writes": 1}))
+}
--- a/cmd/zinniapulley/platform.go
+++ b/cmd/zinniapulley/platform.go
@@ -23,6 +23,7 @@
 	"zinniapulley.dev/roles/companion"
 	"zinniapulley.dev/roles/control"
 	"zinniapulley.dev/roles/entry"
+	"zinniapulley.dev/waitqueue"
 )
 
 const (
@@ -189,7 +190,13 @@
 }
 
 // platformCompanion runs a companion.
-type platformCompanion struct{ platformProcess }
+type platformCompanion struct {
+	platformProcess
+	RouteWeight map[string]float64 `help:"Weight of a route for its share of the backend server's capacity; repeatable. Routes without one have the weight 1." placeholder:"NAME=WEIGHT"`
+}
+
+// Validate reports invalid weights. Kong calls it when it parses the command line.
+func (c *platformCompanion) Validate() error { return waitqueue.CheckWeights(c.RouteWeight) }
 
 // Run builds the companion from its settings and serves.
 func (c *platformCompanion) Run() error {
@@ -208,6 +215,7 @@
 			DataCentre: s.DataCentre, AnnouncementLimit: time.Duration(float64(s.AnnounceInterval) * announcementLimitIntervals),
 			FirstAnnouncementLimit: s.AnnounceInterval * firstAnnouncementIntervals,
 			ColdFactor:             s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, MaxFlowAge: s.Bounds.MaxFlowAge,
+			RouteWeights: c.RouteWeight,
 		},
 		Codec: platform.Datagrams{CallerPort: s.Listen.Packets.Port()}, Log: c.log, Metrics: c.metrics,
 	})
