Replay a stream of late attempts at a cold server

Cause: the replay with a short backlog gave the same before and after the queue, so it didn't guard against the failure.

Change: late attempts arrive that would take all of a cold server's capacity, and new requests that take 0.7 of it.

--- a/passthrough/overload_test.go
+++ b/passthrough/overload_test.go
@@ -222,8 +222,8 @@
 }
 
 // After all machines had lost power, capacity went to attempts that were late in any
-// case, and more than half of the new requests became late too, although a cold fleet
-// sustains 2,100 requests per second and 1,700 new ones arrived.
+// case, and new requests that could all be served were late or refused. Here late
+// attempts alone would take all the capacity of a cold server, and new ones 0.7 of it.
 func TestNewRequestsAreInTimeDespiteABacklogOfLateOnes(t *testing.T) {
 	g := gomega.NewWithT(t)
 	good, total := 0, 0
@@ -232,10 +232,11 @@
 		l := newOverload(seed, cold)
 		sustained := loadSlots / (cold * meanRun().Seconds())
 		l.runUntil(start)
-		for i := range 60 {
-			l.after(time.Duration(i)*3*time.Millisecond, func() { l.call(address, time.Duration(200+l.random.IntN(800))*time.Millisecond) })
+		for i := range int(3 * sustained) {
+			// As many late attempts as the server sustains arrive, in their second and third copies.
+			l.after(time.Duration(float64(i)/sustained*float64(time.Second)), func() { l.call(address, time.Duration(200+400*(i%2))*time.Millisecond) })
 		}
-		calls := l.arrive(address, 0.8*sustained, start.Add(3*time.Second))
+		calls := l.arrive(address, 0.7*sustained, start.Add(3*time.Second))
 		l.runUntil(start.Add(6 * time.Second))
 		answered, _ := inTime(*calls)
 		good, total = good+answered, total+len(*calls)
--- a/passthrough/urgency.go
+++ b/passthrough/urgency.go
@@ -7,7 +7,8 @@
 	urgentPriority = 1
 )
 
-// Urgency orders opening packets by how much of a queue they may wait for.
+// Urgency orders opening packets by how soon a companion is tried again that has refused
+// one.
 type Urgency uint8
 
 const (
