--- a/waitqueue/plan.go
+++ b/waitqueue/plan.go
@@ -25,7 +25,7 @@
 			}
 		}
 		e.turn = time.Duration(float64(room.turn(i)) / (1 - q.pressure.above(e.Priority)))
-		q.books.served(e, q.planned[i+1:])
+		q.usage.served(e, q.planned[i+1:])
 		if e.late {
 			late++
 		} else {
@@ -52,19 +52,19 @@
 
 // save keeps the state of the groups that requests wait of.
 func (q *Queue) save() {
-	q.saved = append(q.saved[:0], q.books.late)
+	q.saved = append(q.saved[:0], q.usage.late)
 	for _, e := range q.waiting {
 		q.saved = append(q.saved, *e.route, *e.origin, *e.caller)
 	}
-	q.times = [3]float64{q.books.routes.time, q.books.origins.time, q.books.callers.time}
+	q.times = [3]float64{q.usage.routes.time, q.usage.origins.time, q.usage.callers.time}
 }
 
 // restore puts the saved state back.
 func (q *Queue) restore() {
-	q.books.late = q.saved[0]
+	q.usage.late = q.saved[0]
 	for i, e := range q.waiting {
 		saved := q.saved[1+3*i:]
 		*e.route, *e.origin, *e.caller = saved[0], saved[1], saved[2]
 	}
-	q.books.routes.time, q.books.origins.time, q.books.callers.time = q.times[0], q.times[1], q.times[2]
+	q.usage.routes.time, q.usage.origins.time, q.usage.callers.time = q.times[0], q.times[1], q.times[2]
 }
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -37,7 +37,7 @@
 type Queue struct {
 	weights map[string]float64
 	waiting []*entry
-	books   books
+	usage   usage
 	// pressure is kept while nothing waits.
 	pressure pressure
 	number   uint64
@@ -73,7 +73,8 @@
 // Len returns how many requests wait.
 func (q *Queue) Len() int { return len(q.waiting) }
 
-// Offer decides about a request that isn't in the queue.
+// Offer decides about a request that isn't in the queue. After a Wait others may have to
+// be refused, which Expire returns.
 func (q *Queue) Offer(now time.Time, r Request, room Room) (Verdict, Reason) {
 	if len(q.waiting) == 0 && room.Free() {
 		q.pressure.started(r.Priority)
@@ -145,7 +146,7 @@
 		return Outcome{}, false
 	}
 	q.remove(e)
-	q.books.served(e, q.waiting)
+	q.usage.served(e, q.waiting)
 	q.pressure.started(e.Priority)
 	q.resetIfEmpty()
 	return e.outcome(now, reason), true
@@ -228,7 +229,7 @@
 	for _, e := range q.waiting {
 		change(&e.Request)
 		e.route.leave()
-		e.route = q.books.routes.join(e.Route, q.weight(e.Route))
+		e.route = q.usage.routes.join(e.Route, q.weight(e.Route))
 	}
 }
 
@@ -254,8 +255,8 @@
 func (q *Queue) join(now time.Time, r Request) *entry {
 	q.number++
 	e := &entry{
-		Request: r, joined: now, number: q.number, route: q.books.routes.join(r.Route, q.weight(r.Route)),
-		origin: q.books.origins.join(r.Origin, 1), caller: q.books.callers.join(r.Key.Caller.Addr(), 1),
+		Request: r, joined: now, number: q.number, route: q.usage.routes.join(r.Route, q.weight(r.Route)),
+		origin: q.usage.origins.join(r.Origin, 1), caller: q.usage.callers.join(r.Key.Caller.Addr(), 1),
 	}
 	q.waiting = append(q.waiting, e)
 	return e
@@ -272,10 +273,10 @@
 // resetIfEmpty forgets what the groups have got once nobody waits.
 func (q *Queue) resetIfEmpty() {
 	if len(q.waiting) == 0 {
-		q.books.routes.reset()
-		q.books.origins.reset()
-		q.books.callers.reset()
-		q.books.late = group{}
+		q.usage.routes.reset()
+		q.usage.origins.reset()
+		q.usage.callers.reset()
+		q.usage.late = group{}
 	}
 }
 
@@ -331,7 +332,7 @@
 		}
 		check(e.route)
 		if e.late {
-			check(&q.books.late)
+			check(&q.usage.late)
 		} else {
 			check(e.origin)
 		}
@@ -341,7 +342,7 @@
 
 // belongs reports whether the request is of the group.
 func (q *Queue) belongs(e *entry, g *group) bool {
-	return e.route == g || (e.late && g == &q.books.late) || (!e.late && e.origin == g)
+	return e.route == g || (e.late && g == &q.usage.late) || (!e.late && e.origin == g)
 }
 
 // compare orders two requests: those that can be in time first, then by priority, by
@@ -355,9 +356,9 @@
 	}
 	return cmp.Or(
 		cmp.Compare(a.Priority, b.Priority),
-		cmp.Compare(q.books.routes.virtual(a.route), q.books.routes.virtual(b.route)),
-		cmp.Compare(q.books.origins.virtual(a.origin), q.books.origins.virtual(b.origin)),
-		cmp.Compare(q.books.callers.virtual(a.caller), q.books.callers.virtual(b.caller)),
+		cmp.Compare(q.usage.routes.virtual(a.route), q.usage.routes.virtual(b.route)),
+		cmp.Compare(q.usage.origins.virtual(a.origin), q.usage.origins.virtual(b.origin)),
+		cmp.Compare(q.usage.callers.virtual(a.caller), q.usage.callers.virtual(b.caller)),
 		compareSlack(a, b),
 		cmp.Compare(a.number, b.number),
 	)
--- a/waitqueue/request.go
+++ b/waitqueue/request.go
@@ -14,8 +14,8 @@
 	// about 0.5, and the mean includes a few requests that run several times as long.
 	runMargin = 1.5
 	// maxWaitShare is the part of its objective that a request may be expected to wait when
-	// it joins the queue. With longer waits the few requests that run several times as
-	// long as the mean would all be late.
+	// it joins the queue. With longer waits more requests are overtaken and refused late, and
+	// the few that run several times as long as the mean are all late.
 	maxWaitShare = 1. / 3
 	// attemptLimit is the time after its first packet at which a caller abandons an attempt
 	// that got no answer to its opening packet.
--- a/waitqueue/shares.go
+++ b/waitqueue/shares.go
@@ -83,8 +83,8 @@
 	}
 }
 
-// books holds the shares of all kinds.
-type books struct {
+// usage holds the shares of all kinds.
+type usage struct {
 	routes  shares[string]
 	origins shares[netip.AddrPort]
 	callers shares[netip.Addr]
@@ -93,31 +93,31 @@
 }
 
 // served records the start of an entry. others are the entries that wait on.
-func (b *books) served(e *entry, others []*entry) {
-	b.routes.served(e.route)
-	b.origins.served(e.origin)
-	b.callers.served(e.caller)
-	b.starts++
+func (u *usage) served(e *entry, others []*entry) {
+	u.routes.served(e.route)
+	u.origins.served(e.origin)
+	u.callers.served(e.caller)
+	u.starts++
 	for _, g := range [...]*group{e.route, e.origin} {
-		g.credit, g.mark = max(g.credit-1, 0), b.starts
+		g.credit, g.mark = max(g.credit-1, 0), u.starts
 	}
 	if e.late {
-		b.late.credit, b.late.mark = max(b.late.credit-1, 0), b.starts
+		u.late.credit, u.late.mark = max(u.late.credit-1, 0), u.starts
 	}
 	for _, other := range others {
-		b.earn(other.route)
+		u.earn(other.route)
 		if other.late {
-			b.earn(&b.late)
+			u.earn(&u.late)
 		} else {
-			b.earn(other.origin)
+			u.earn(other.origin)
 		}
 	}
 }
 
 // earn adds the floor of one start to the group's credit, once for each start.
-func (b *books) earn(g *group) {
-	if g.mark != b.starts {
+func (u *usage) earn(g *group) {
+	if g.mark != u.starts {
 		g.credit += floorShare
-		g.mark = b.starts
+		g.mark = u.starts
 	}
 }
