Test shares of origins, later urgent requests and cold servers

Cause: removing the shares of origins, the wait for a cold server's rate, or the longer run of a cold server failed no test.

--- a/passthrough/queue_test.go
+++ b/passthrough/queue_test.go
@@ -290,6 +290,57 @@
 	b.g.Expect(count).To(gomega.And(gomega.BeNumerically(">=", 1), gomega.BeNumerically("<=", 8)))
 }
 
+// While a cold backend server's rate was used up, packets that waited would have been
+// returned, and refused everywhere, since all servers are cold after an outage.
+func TestQueueWaitsWhileTheColdRateIsUsedUp(t *testing.T) {
+	b := newQueueHarness(t)
+	view := queueView(3)
+	view.Services[0].ColdRate = 2
+	b.gate.SetTable(b.now, route.Compile(view))
+	b.send(syn(10))
+	a := announcement(2)
+	a.ColdFor = 10 * time.Second
+	b.announce(a)
+	b.g.Expect(b.freePlace(1)).To(gomega.BeEmpty())
+	b.g.Expect(b.gate.Continue(b.now)).To(gomega.BeEmpty())
+	b.g.Expect(b.gate.Queued()).To(gomega.Equal(1))
+	b.expect(b.send(syn(11)), gate.Refuse, passthrough.ReasonColdLimit)
+	for port := 2; port <= 4; port++ {
+		b.g.Expect(b.freePlace(port)).To(gomega.BeEmpty())
+	}
+	b.advance(1200 * time.Millisecond)
+	b.g.Expect(delivered(b.gate.Continue(b.now))).To(gomega.Equal([]int{10}))
+}
+
+// A server that had just started was expected to answer as fast as before, and accepted
+// more than it could answer in time.
+func TestRunTimeOfAColdServerIsExpectedToBeLonger(t *testing.T) {
+	b := newPaceHarness(t)
+	for port := range 20 {
+		b.exchange(port)
+	}
+	b.g.Expect(b.gate.Room(b.now).Run).To(gomega.BeNumerically("~", serviceTime, time.Millisecond))
+	a := announcement(2)
+	a.ColdFor = time.Second
+	b.announce(a)
+	b.g.Expect(b.gate.Room(b.now).Run).To(gomega.BeNumerically("~", serviceTime*8/5, time.Millisecond))
+	for port := 100; port < 105; port++ {
+		b.exchange(port)
+	}
+	b.g.Expect(b.gate.Room(b.now).Run).To(gomega.BeNumerically("~", serviceTime, time.Millisecond), "measured while cold")
+	b.advance(time.Second)
+	b.g.Expect(b.gate.Room(b.now).Run).To(gomega.BeNumerically("~", serviceTime, time.Millisecond))
+}
+
+// A server that had become slow accepted requests by its old pace until its next answer.
+func TestServerThatDoesNotAnswerCountsAsSlow(t *testing.T) {
+	b := newQueueHarness(t)
+	before := b.gate.Room(b.now).Interval
+	b.advance(240 * time.Millisecond)
+	b.g.Expect(b.gate.Room(b.now).Interval).To(gomega.Equal(40 * time.Millisecond))
+	b.g.Expect(before).To(gomega.BeNumerically("<", 20*time.Millisecond))
+}
+
 // Requests that already waited kept their old order after a change of the configuration.
 func TestChangedPrioritiesApplyToQueuedPackets(t *testing.T) {
 	b := newQueueHarness(t)
--- a/waitqueue/queue_test.go
+++ b/waitqueue/queue_test.go
@@ -222,6 +222,47 @@
 	g.Expect(callers).To(gomega.ConsistOf(request(1).Key.Caller.Addr(), request(2).Key.Caller.Addr(), request(3).Key.Caller.Addr()))
 }
 
+// Callers of an entry instance with few requests waited behind all of another's.
+func TestOriginsGetEqualShares(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := waitqueue.New(nil)
+	for n := range 5 {
+		r := request(n)
+		r.Origin = origin(1)
+		offer(t, q, r)
+	}
+	other := request(10)
+	other.Origin = origin(2)
+	offer(t, q, other)
+	_, origins, _ := starts(t, q, 100)
+	g.Expect(origins).To(gomega.Equal(map[netip.AddrPort]int{origin(1): 50, origin(2): 50}))
+}
+
+// Ordinary requests were accepted by the number of those waiting, and then overtaken by
+// urgent ones until they were late.
+func TestUrgentRequestsYetToComeCountForTheTurn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	accepted := func(priority int) int {
+		q := waitqueue.New(nil)
+		free := taken()
+		free.Taken = 0
+		for n := range 200 {
+			r := request(n)
+			r.Priority = priority
+			q.Offer(start, r, free)
+		}
+		count := 0
+		for n := range 50 {
+			if verdict, _ := q.Offer(start, request(n), taken()); verdict == waitqueue.Wait {
+				count++
+			}
+		}
+		return count
+	}
+	g.Expect(accepted(ordinary)).To(gomega.Equal(10), "a third of the objective, in turns of 10 ms")
+	g.Expect(accepted(urgent)).To(gomega.BeNumerically("<=", 1))
+}
+
 func TestWeightsDivideTheCapacityOfEqualPriorities(t *testing.T) {
 	g := gomega.NewWithT(t)
 	q := waitqueue.New(map[string]float64{"reads": 3})
