--- a/passthrough/gate/pace.go
+++ b/passthrough/gate/pace.go
@@ -17,10 +17,6 @@
 	paceLimit = 5 * time.Second
 )
 
-// waitShares holds, for each urgency, the part of the time in which callers expect their answer
-// that requests may wait, so that urgent ones are still admitted when others aren't.
-var waitShares = [passthrough.UrgencyCount]float64{passthrough.UrgencyRepeated: 0.2, passthrough.UrgencyOrdinary: 0.6, passthrough.UrgencyHigh: 0.9}
-
 // pace measures how often a backend server with all slots taken answers.
 type pace struct {
 	// saturatedSince is the time of the last answer after which all slots remained
@@ -74,9 +70,10 @@
 
 // Pace returns what the backend server is measured to sustain.
 func (g *Gate) Pace(now time.Time) passthrough.Pace {
-	pace := passthrough.Pace{Waiting: max(g.running-g.target.Slots, 0)}
-	if g.pace.runSamples > 0 && now.Sub(g.pace.measuredAt) <= paceLimit {
-		pace.Run, pace.Interval = g.pace.run, g.pace.interval
+	pace := passthrough.Pace{Waiting: max(g.running-g.target.Slots, 0) + g.queue.Len()}
+	measured := g.paceAt(now)
+	if measured.runSamples > 0 && now.Sub(measured.measuredAt) <= paceLimit {
+		pace.Run, pace.Interval = measured.run, measured.interval
 	}
 	return pace
 }
@@ -85,21 +82,3 @@
 func smooth(mean, sample time.Duration, weight float64) time.Duration {
 	return mean + time.Duration(weight*float64(sample-mean))
 }
-
-// busy reports whether the first request of a new flow would wait so long that its
-// answer would miss the route's objective. Refusing it is better than delaying all
-// requests behind it. While the pace is unknown, as after a start, nothing is
-// admitted beyond the free queue.
-func (g *Gate) busy(now time.Time, p *passthrough.Packet) bool {
-	g.expected.expire(now)
-	ahead := g.running + g.expected.count
-	if ahead < passthrough.FreeQueue*g.target.Slots {
-		return false
-	}
-	r := g.table.Route(p.Key.Service)
-	if r == nil || r.Objective <= 0 {
-		return false
-	}
-	allowed := waitShares[passthrough.UrgencyOf(p, r)] * float64(r.Objective)
-	return g.pace.interval == 0 || float64(ahead)*float64(g.pace.interval) > allowed
-}
