Spread log lines of the packet paths over the second and count those left out

Cause: the bounds of 20 to 60 lines a second were used up by the first milliseconds after an outage, and what was left out was only counted in total.

Change: asynclog.Limit allows a tenth of its lines in each tenth of a second; what a tenth doesn't use is allowed in later tenths of the same second. asynclog.LeftOut counts the lines left out by line, outcome and reason; the tick of the packet path writes one line a second with the counts, and none if nothing was left out.

Tests of asynclog (also -race) and roles pass.

--- a/roles/companion/owner.go
+++ b/roles/companion/owner.go
@@ -44,6 +44,7 @@
 	failedLimit   asynclog.Limit
 	requestLimit  asynclog.Limit
 	lateLimit     asynclog.Limit
+	leftOut       *asynclog.LeftOut
 	// requests holds the identities of requests that wait for a response, by flow.
 	requests map[core.FlowKey]string
 	now      time.Time
@@ -57,15 +58,17 @@
 
 func newPacketPath(c *Companion) *packetPath {
 	registry := c.config.Metrics
+	leftOut := asynclog.NewLeftOut()
 	path := &packetPath{
 		companion:     c,
 		gate:          gate.New(time.Now(), c.config.Gate),
 		state:         c.state.Load(),
 		log:           c.lines.Logger(),
-		admittedLimit: asynclog.Limit{PerSecond: admittedLinesPerSecond},
-		failedLimit:   asynclog.Limit{PerSecond: failedLinesPerSecond},
-		requestLimit:  asynclog.Limit{PerSecond: requestLinesPerSecond},
-		lateLimit:     asynclog.Limit{PerSecond: lateLinesPerSecond},
+		admittedLimit: asynclog.Limit{PerSecond: admittedLinesPerSecond, LeftOut: leftOut},
+		failedLimit:   asynclog.Limit{PerSecond: failedLinesPerSecond, LeftOut: leftOut},
+		requestLimit:  asynclog.Limit{PerSecond: requestLinesPerSecond, LeftOut: leftOut},
+		lateLimit:     asynclog.Limit{PerSecond: lateLinesPerSecond, LeftOut: leftOut},
+		leftOut:       leftOut,
 		requests:      make(map[core.FlowKey]string),
 		reports:       gate.NewReports(),
 		surveys:       gate.NewSurveys(),
@@ -147,10 +150,12 @@
 	return nil
 }
 
-// Tick removes expired state, requests a probe if a response is overdue, and sends the
-// entry instances the report that is due.
+// Tick removes expired state, requests a probe if a response is overdue, sends the
+// entry instances the report that is due, and logs the counts of the lines that were
+// left out.
 func (path *packetPath) Tick(now time.Time) {
 	path.refresh(now)
+	path.leftOut.Write(now, path.log)
 	if path.companion.stopping.Load() {
 		path.gate.Stop()
 	}
@@ -244,7 +249,7 @@
 		clear(path.requests)
 	}
 	path.requests[a.Packet.Key] = request
-	leftOut, ok := path.requestLimit.Allow(now)
+	leftOut, ok := path.requestLimit.Allow(now, asynclog.Cause{Line: "request delivered", Outcome: "delivered", Reason: a.Reason.String()})
 	if ok {
 		path.log.Info("request delivered", "request", request, "flow", a.Packet.Key, "server", path.state.target.Server,
 			"running", path.gate.Running(), "slots", path.state.target.Slots, "version", path.gate.Version(), "linesLeftOut", leftOut)
@@ -263,7 +268,7 @@
 	if route == nil || took <= route.Objective {
 		return
 	}
-	leftOut, ok := path.lateLimit.Allow(path.now)
+	leftOut, ok := path.lateLimit.Allow(path.now, asynclog.Cause{Line: "request answered late", Outcome: "answered"})
 	if ok {
 		path.log.Warn("request answered late", "request", request, "flow", key, "took", took, "objective", route.Objective,
 			"server", path.state.target.Server, "running", path.gate.Running(), "slots", path.state.target.Slots, "linesLeftOut", leftOut)
@@ -298,13 +303,13 @@
 	case a.Kind == gate.Deliver && a.Reason == passthrough.ReasonRequest:
 		path.requestBegan(now, a)
 	case a.Kind == gate.SendNote && a.Note.Kind == passthrough.NoteAdmitted:
-		leftOut, ok := path.admittedLimit.Allow(now)
+		leftOut, ok := path.admittedLimit.Allow(now, asynclog.Cause{Line: "flow admitted", Outcome: "admitted", Reason: a.Reason.String()})
 		if ok {
 			path.log.Info("flow admitted", "flow", a.Note.Key, "entry", a.To, "server", path.state.target.Server, "running", a.Note.Running,
 				"flows", a.Note.Flows, "announcementAge", now.Sub(path.state.target.LastSeen), "version", path.gate.Version(), "linesLeftOut", leftOut)
 		}
 	case a.Kind == gate.Refuse || a.Kind == gate.NotHeld || a.Kind == gate.Reset:
-		leftOut, ok := path.failedLimit.Allow(now)
+		leftOut, ok := path.failedLimit.Allow(now, asynclog.Cause{Line: "packet not delivered", Outcome: outcome(a.Kind), Reason: a.Reason.String()})
 		if ok {
 			path.log.Warn("packet not delivered", "flow", a.Packet.Key, "request", path.requests[a.Packet.Key], "flags", a.Packet.Flags, "entry", a.To,
 				"reset", a.Kind == gate.Reset, "reason", a.Reason, "server", path.state.target.Server,
@@ -312,3 +317,15 @@
 		}
 	}
 }
+
+// outcome names what was done with a packet that wasn't delivered.
+func outcome(kind gate.Kind) string {
+	switch kind {
+	case gate.Reset:
+		return "reset"
+	case gate.NotHeld:
+		return "not held"
+	default:
+		return "refused"
+	}
+}
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -29,17 +29,20 @@
 	log         *slog.Logger
 	routedLimit asynclog.Limit
 	failedLimit asynclog.Limit
+	leftOut     *asynclog.LeftOut
 	buffer      []byte
 	meter       *traffic.Meter
 }
 
 func newPacketPath(e *Entry) *packetPath {
+	leftOut := asynclog.NewLeftOut()
 	path := &packetPath{
 		entry:       e,
 		dispatcher:  dispatch.New(time.Now(), e.config.DataCentre),
 		log:         e.lines.Logger(),
-		routedLimit: asynclog.Limit{PerSecond: routedLinesPerSecond},
-		failedLimit: asynclog.Limit{PerSecond: failedLinesPerSecond},
+		routedLimit: asynclog.Limit{PerSecond: routedLinesPerSecond, LeftOut: leftOut},
+		failedLimit: asynclog.Limit{PerSecond: failedLinesPerSecond, LeftOut: leftOut},
+		leftOut:     leftOut,
 		meter:       traffic.NewMeter(e.config.Metrics),
 	}
 	path.dispatcher.SetNetwork(e.config.Network)
@@ -59,8 +62,10 @@
 	path.fromCompanion(now, d)
 }
 
-// Tick removes expired flows and companions and updates the gauges.
+// Tick removes expired flows and companions, updates the gauges and logs the counts of
+// the lines that were left out.
 func (path *packetPath) Tick(now time.Time) {
+	path.leftOut.Write(now, path.log)
 	path.dispatcher.Sweep(now)
 	path.execute(now, path.dispatcher.Continue(now))
 	path.entry.companionCount.Store(int64(path.dispatcher.Companions()))
@@ -192,14 +197,14 @@
 func (path *packetPath) logAction(now time.Time, a *dispatch.Action) {
 	switch {
 	case a.Kind == dispatch.Forward && a.Reason == passthrough.ReasonChosen:
-		leftOut, ok := path.routedLimit.Allow(now)
+		leftOut, ok := path.routedLimit.Allow(now, asynclog.Cause{Line: "flow routed", Outcome: "forwarded", Reason: a.Reason.String()})
 		if ok {
 			path.log.Info("flow routed", "flow", a.Packet.Key, "companion", a.To, "service", a.Status.Service, "server", a.Status.Server,
 				"running", a.Status.Running, "flows", a.Status.Flows, "slots", a.Status.Slots, "statusAge", a.Age,
 				"version", path.dispatcher.Version(), "reason", a.Reason, "linesLeftOut", leftOut)
 		}
 	case a.Kind == dispatch.Reset || a.Kind == dispatch.Drop || a.Kind == dispatch.Wait:
-		leftOut, ok := path.failedLimit.Allow(now)
+		leftOut, ok := path.failedLimit.Allow(now, asynclog.Cause{Line: "packet not forwarded", Outcome: outcome(a.Kind), Reason: a.Reason.String()})
 		if ok {
 			path.log.Warn("packet not forwarded", "flow", a.Packet.Key, "flags", a.Packet.Flags, "reset", a.Kind == dispatch.Reset, "waits", a.Kind == dispatch.Wait,
 				"version", path.dispatcher.Version(), "companions", path.dispatcher.Companions(), "reason", a.Reason, "linesLeftOut", leftOut)
@@ -207,8 +212,24 @@
 	}
 }
 
+// outcome names what was done with a packet that wasn't forwarded.
+func outcome(kind dispatch.Kind) string {
+	switch kind {
+	case dispatch.Reset:
+		return "reset"
+	case dispatch.Wait:
+		return "waits"
+	default:
+		return "dropped"
+	}
+}
+
 func (path *packetPath) logReturned(now time.Time, from netip.AddrPort, p *passthrough.Packet, envelope hop.Envelope) {
-	leftOut, ok := path.failedLimit.Allow(now)
+	cause := asynclog.Cause{Line: "packet returned by companion", Outcome: "not held", Reason: envelope.Reason.String()}
+	if envelope.Kind == hop.KindRefused {
+		cause.Outcome = "refused"
+	}
+	leftOut, ok := path.failedLimit.Allow(now, cause)
 	if ok {
 		path.log.Info("packet returned by companion", "flow", p.Key, "companion", from, "opening", envelope.Kind == hop.KindRefused,
 			"companionVersion", envelope.Version, "reason", envelope.Reason, "linesLeftOut", leftOut)
