Soak: jobs of two priorities, slow servers and moved callers

Cause: the soak had neither competing priorities nor servers that are short of slots, slow, or given another data centre's callers.

Change: a third service with three servers of eight slots gets urgent jobs, which may run only once, and ordinary jobs. Surges of ordinary jobs exceed the slots, one of the three servers becomes slow by a factor of 3, and half of a data centre's callers send by the entry instances of the other, each for one to three seconds, while the faults of before go on. The checks: no urgent job is refused while a server admits an ordinary one that was sent after it by the same entry instance, within 100 ms; a job that may run only once runs once at most; an answered job has run. What can't be seen from outside is said at the check. The new processes and faults draw from random sources of their own, so that the seeds' earlier faults remain. A run whose networks are in use takes the next five; two soaks on one machine failed with "address in use".

--- a/cmd/zinniapulley/soak_test.go
+++ b/cmd/zinniapulley/soak_test.go
@@ -36,5 +36,7 @@
 		t.Log(report)
 		g.Expect(report.Violations).To(gomega.BeEmpty())
 		g.Expect(report.Requests).To(gomega.BeNumerically(">", 0))
+		g.Expect(report.Urgent.Answered).To(gomega.BeNumerically(">", 0))
+		g.Expect(report.Ordinary.Refused).To(gomega.BeNumerically(">", 0), "the job servers were not overloaded")
 	}
 }
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -20,13 +20,14 @@
 	"zinniapulley.dev/standin/packets"
 )
 
-// Sizes of the deployment. Servers alternate between two zones, and every third
-// server is of the second service.
+// Sizes of the deployment. Servers alternate between two zones. Every third of the
+// servers is of the second service; the job servers after them are of the third.
 const (
-	controls = 3
-	entries  = 3
-	servers  = 6
-	callers  = 4
+	controls   = 3
+	entries    = 3
+	servers    = 6
+	jobServers = 3
+	callers    = 4
 
 	announceInterval = 300 * time.Millisecond
 )
@@ -51,11 +52,17 @@
 	command *exec.Cmd
 	paused  bool
 	ended   chan struct{}
+	// spared is set if faults of single processes don't affect this one.
+	spared bool
+	// disturbed holds the times at which the process was started, stopped, paused or
+	// resumed or its server's speed changed.
+	disturbed timeline
 }
 
 // backend is a backend server and what it announces.
 type backend struct {
 	server      *packets.Server
+	companion   *process
 	service     core.ServiceName
 	zone        core.DataCentre
 	announceURL string
@@ -74,6 +81,7 @@
 	recorder  *recorder
 	processes []*process
 	backends  []*backend
+	jobs      *jobs
 	seeds     []netip.AddrPort
 }
 
@@ -89,7 +97,7 @@
 )
 
 func newDeployment(options Options, r *recorder) (*deployment, error) {
-	d := &deployment{options: options, recorder: r}
+	d := &deployment{options: options, recorder: r, jobs: newJobs()}
 	for i := range byte(controls) {
 		d.seeds = append(d.seeds, d.address(groupControl, i+1, platformtest.PortControl))
 	}
@@ -99,20 +107,27 @@
 	for i := range byte(entries) {
 		d.addProcess(roleEntry, d.address(groupEntry, i+1, 0).Addr(), i)
 	}
-	for i := range byte(servers) {
-		d.addProcess(roleCompanion, d.address(groupServer, i+1, 0).Addr(), i)
-		err := d.addBackend(i)
+	for i := range byte(servers + jobServers) {
+		companion := d.addProcess(roleCompanion, d.address(groupServer, i+1, 0).Addr(), i)
+		err := d.addBackend(i, companion)
 		if err != nil {
+			d.close()
 			return nil, err
 		}
 	}
 	return d, nil
 }
 
-func zoneOf(i byte) core.DataCentre     { return []core.DataCentre{"north", "south"}[i%2] }
-func serviceOf(i byte) core.ServiceName { return []core.ServiceName{"feed", "feed", "files"}[i%3] }
+func zoneOf(i byte) core.DataCentre { return []core.DataCentre{"north", "south"}[i%2] }
 
-func (d *deployment) addProcess(role string, address netip.Addr, i byte) {
+func serviceOf(i byte) core.ServiceName {
+	if i >= servers {
+		return jobsService
+	}
+	return []core.ServiceName{"feed", "feed", "files"}[i%3]
+}
+
+func (d *deployment) addProcess(role string, address netip.Addr, i byte) *process {
 	name := fmt.Sprintf("%s-%d", role, i+1)
 	p := &process{
 		name: name, role: role, file: filepath.Join(d.options.Folder, name+".toml"), data: filepath.Join(d.options.Folder, name),
@@ -126,9 +141,11 @@
 		p.settings.Folder = p.data
 	case roleCompanion:
 		p.settings.Service = serviceOf(i)
+		p.spared = i >= servers
 	}
 	d.processes = append(d.processes, p)
 	d.writeSettings(p)
+	return p
 }
 
 func (d *deployment) seedHosts() []netip.Addr {
@@ -147,14 +164,18 @@
 	}
 }
 
-func (d *deployment) addBackend(i byte) error {
+func (d *deployment) addBackend(i byte, companion *process) error {
 	server, err := packets.NewServer(fmt.Sprintf("%s%d", serviceOf(i), i), d.address(groupServer, i+1, platformtest.PortServer), d.address(groupServer, i+1, platformtest.PortOutbound))
 	if err != nil {
 		return err
 	}
-	b := &backend{server: server, service: serviceOf(i), zone: zoneOf(i), announceURL: "http://" + d.address(groupServer, i+1, platformtest.PortControl).String(), start: 1}
-	server.OnOpen = func(route netip.AddrPort) { d.checkOpening(b, route) }
-	d.backends = append(d.backends, b)
+	b := &backend{server: server, companion: companion, service: serviceOf(i), zone: zoneOf(i), announceURL: "http://" + d.address(groupServer, i+1, platformtest.PortControl).String(), start: 1}
+	server.OnOpen = func(key core.FlowKey) { d.checkOpening(b, key.Service) }
+	if b.service == jobsService {
+		d.jobs.addServer(b, server.OnOpen)
+	} else {
+		d.backends = append(d.backends, b)
+	}
 	go server.Run()
 	return nil
 }
@@ -190,6 +211,7 @@
 	}
 	ended := make(chan struct{})
 	p.command, p.ended, p.paused, p.log = command, ended, false, log
+	p.disturbed.add()
 	go func() {
 		_ = command.Wait()
 		_ = log.Close()
@@ -204,6 +226,7 @@
 	defer p.lock.Unlock()
 	if p.command != nil {
 		_ = p.command.Process.Signal(s)
+		p.disturbed.add()
 		p.paused = s == syscall.SIGSTOP
 	}
 }
@@ -216,6 +239,7 @@
 	if p.command == nil {
 		return
 	}
+	p.disturbed.add()
 	if p.paused {
 		_ = p.command.Process.Signal(syscall.SIGCONT)
 	}
@@ -254,17 +278,26 @@
 	for _, p := range d.processes {
 		p.stop(syscall.SIGKILL)
 	}
-	for _, b := range d.backends {
+	for _, b := range d.allBackends() {
 		b.server.Close()
 	}
 }
 
-// routes are the routes of every configuration.
+func (d *deployment) allBackends() []*backend {
+	return append(append([]*backend{}, d.backends...), d.jobs.servers...)
+}
+
+// routes are the routes of every configuration. Callers with long flows use the first
+// flowRoutes of them.
 var routes = []platformtest.Route{
 	{Address: netip.MustParseAddrPort("198.18.0.1:443"), Service: "feed"},
 	{Address: netip.MustParseAddrPort("198.18.0.2:443"), Service: "files"},
+	{Address: urgentRoute, Service: jobsService, Name: "urgent", Priority: 1, Once: true},
+	{Address: ordinaryRoute, Service: jobsService, Name: "ordinary", Priority: 2},
 }
 
+const flowRoutes = 2
+
 // serviceAt returns the service of the route at an address, or "".
 func serviceAt(address netip.AddrPort) core.ServiceName {
 	for _, r := range routes {
@@ -315,7 +348,7 @@
 func (d *deployment) pick(random *rand.Rand, role string) *process {
 	var candidates []*process
 	for _, p := range d.processes {
-		if p.role == role {
+		if p.role == role && !p.spared {
 			candidates = append(candidates, p)
 		}
 	}
--- a/soak/run/main.go
+++ b/soak/run/main.go
@@ -21,7 +21,7 @@
 	Seeds  int           `help:"Number of seeds." default:"10"`
 	Length time.Duration `help:"Time during which faults are injected, for each seed." default:"15s"`
 	Folder string        `help:"Folder for settings, data and logs." default:"target/soak"`
-	Net    byte          `help:"Third octet of the first of the five loopback networks to use." default:"40"`
+	Net    byte          `help:"Third octet of the first of the five loopback networks to use, if they are free." default:"40"`
 }
 
 // Run runs the seeds one after the other. It fails if a guarantee was violated.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -4,7 +4,9 @@
 //
 // A seed decides which processes are killed, paused, stopped or lose their disk,
 // when operators change the configuration, and when backend servers drain or
-// restart. Faults overlap. A seed repeats the faults, but since processes run in real
+// restart. Meanwhile jobs of two priorities compete for servers that run few at once,
+// get more than that for some seconds, become slow, and get callers of another data
+// centre. Faults overlap. A seed repeats the faults, but since processes run in real
 // time not the order of all packets.
 package soak
 
@@ -14,6 +16,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -28,8 +31,8 @@
 	Command []string
 	// Environment holds additional variables of each process, as "name=value".
 	Environment []string
-	// Network is the third octet of the loopback addresses of the run. Concurrent
-	// runs need different ones: a run uses this one and the next four.
+	// Network is the third octet of the loopback addresses of the run, which uses this
+	// one and the next four. If they are in use, the run takes the next five that aren't.
 	Network byte
 	// Folder is for the settings, data and logs of the run.
 	Folder string
@@ -45,12 +48,15 @@
 	// Flows counts the flows opened, Requests the requests answered, ConfigChanges
 	// the configuration changes acknowledged.
 	Flows, Requests, ConfigChanges int
+	// Urgent and Ordinary count the attempts of the jobs of either priority.
+	Urgent, Ordinary JobCounts
 }
 
 // String returns the report as lines of text: totals, violations and, if there are
 // any, the faults.
 func (r Report) String() string {
-	text := fmt.Sprintf("seed %d: %d flows opened, %d requests answered, %d orders acknowledged, %d faults", r.Seed, r.Flows, r.Requests, r.ConfigChanges, len(r.Faults))
+	text := fmt.Sprintf("seed %d: %d flows opened, %d requests answered, %d orders acknowledged, %d faults; urgent jobs: %v; ordinary jobs: %v",
+		r.Seed, r.Flows, r.Requests, r.ConfigChanges, len(r.Faults), r.Urgent, r.Ordinary)
 	for _, violation := range r.Violations {
 		text += "\n  BROKEN " + violation
 	}
@@ -91,6 +97,14 @@
 	*counter++
 }
 
+const (
+	// groups is how many networks a run uses, lastNetwork the last one at which the next
+	// five can be tried.
+	groups      = 5
+	lastNetwork = 255 - 2*groups
+	errInUse    = syscall.EADDRINUSE
+)
+
 // settleTimeout bounds the time until the deployment serves: at the start, and again
 // once all faults have ended.
 const settleTimeout = 20 * time.Second
@@ -104,6 +118,10 @@
 	random := rand.New(rand.NewPCG(options.Seed, 1))
 	r := &recorder{start: time.Now(), report: Report{Seed: options.Seed}}
 	d, err := newDeployment(options, r)
+	for errors.Is(err, errInUse) && options.Network < lastNetwork {
+		options.Network += groups
+		d, err = newDeployment(options, r)
+	}
 	if err != nil {
 		return r.report, err
 	}
@@ -134,8 +152,10 @@
 	}
 	working.Go(func() { o.run(limited) })
 	working.Go(func() { d.announce(limited) })
+	working.Go(func() { d.runJobs(limited) })
 	inject(limited, d, random)
 	working.Wait()
+	d.jobs.check(r)
 }
 
 // finish ends all faults and checks that the deployment recovers and that no
--- a/soak/work.go
+++ b/soak/work.go
@@ -23,9 +23,11 @@
 	// drainBound is how long after the acknowledgement a draining backend server may
 	// still receive opening packets that were forwarded before.
 	drainBound = time.Second
-	// slots is the concurrency that each backend server announces. bornBase plus the
-	// count of its starts is the Born of its announcements.
+	// slots is the concurrency that each backend server announces, jobSlots that of the
+	// job servers, which run no more than that. bornBase plus the count of its starts is
+	// the Born of its announcements.
 	slots    = 20
+	jobSlots = 8
 	bornBase = 1_000_000
 	// maxFlows bounds the open flows of a caller.
 	maxFlows = 12
@@ -51,7 +53,7 @@
 // announce sends the announcements of all backend servers until ctx is done.
 func (d *deployment) announce(ctx context.Context) {
 	var announcing sync.WaitGroup
-	for _, b := range d.backends {
+	for _, b := range d.allBackends() {
 		announcing.Go(func() {
 			for ctx.Err() == nil {
 				b.announceOnce(ctx)
@@ -73,7 +75,14 @@
 		Slots: slots, Number: b.number, Born: int64(bornBase + start),
 	}
 	b.lock.Unlock()
+	if b.service == jobsService {
+		a.Slots = jobSlots
+	}
+	begin := time.Now()
 	status, _, err := doHTTP(ctx, http.MethodPut, b.announceURL+a.Path(), a.Body())
+	if err != nil || time.Since(begin) > stallTime {
+		b.companion.disturbed.add()
+	}
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	if err == nil && status == http.StatusOK && draining && b.start == start && b.drainedAt.Load() == 0 {
@@ -136,7 +145,7 @@
 
 // open opens a flow of a random route. It returns nil if that fails.
 func (d *deployment) open(c *packets.Caller, random *rand.Rand) []heldFlow {
-	route := routes[random.IntN(len(routes))].Address
+	route := routes[random.IntN(flowRoutes)].Address
 	addresses := d.entryAddresses()
 	random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	f, err := c.Open(route, addresses...)
--- a/standin/packets/packets.go
+++ b/standin/packets/packets.go
@@ -59,7 +59,8 @@
 }
 
 // Server is a backend server. It answers each packet that carries data with its name
-// and returns packets of flows that it doesn't hold.
+// and returns packets of flows that it doesn't hold. With a run time, it runs the first
+// request of each flow once, and so many at once as it has slots, in order of arrival.
 type Server struct {
 	Name string
 	conn *net.UDPConn
@@ -68,13 +69,38 @@
 	outbound netip.AddrPort
 	// Refuses is set while the server refuses new flows.
 	Refuses atomic.Bool
-	// OnOpen is called with each opening packet of a new flow, if set.
-	OnOpen func(service netip.AddrPort)
+	// OnOpen is called with the key of each new flow, if set.
+	OnOpen func(key core.FlowKey)
+	// RunTime is how long a request runs, as a time.Duration; zero for requests that
+	// are answered at once.
+	RunTime atomic.Int64
+	// Slots is how many requests run at once.
+	Slots int
+	// OnRun is called with the data of each request that starts to run, if set.
+	OnRun  func(request string)
 	opened atomic.Int64
 	lock   sync.Mutex
-	// flows holds the first sequence number of each flow, by caller.
-	flows map[netip.AddrPort]uint32
-	seq   uint32
+	// flows holds the flows by caller.
+	flows   map[netip.AddrPort]*serverFlow
+	waiting []job
+	running int
+	seq     uint32
+}
+
+// serverFlow is an open flow.
+type serverFlow struct {
+	// first is the sequence number with which the server opened the flow.
+	first uint32
+	// accepted is set once the flow's request waits or runs, answer once it has run.
+	accepted bool
+	answer   []byte
+}
+
+// job is a request that waits for a slot or runs.
+type job struct {
+	flow    *serverFlow
+	request string
+	answer  []byte
 }
 
 // NewServer returns a server that receives packets at one address and sends its own
@@ -91,7 +117,7 @@
 	}
 	go answerHealth(health)
 	seq := uint32(outbound.Addr().As4()[3]) << 24
-	return &Server{Name: name, conn: conn, health: health, outbound: outbound, flows: map[netip.AddrPort]uint32{}, seq: seq}, nil
+	return &Server{Name: name, conn: conn, health: health, outbound: outbound, flows: map[netip.AddrPort]*serverFlow{}, seq: seq}, nil
 }
 
 // answerHealth accepts connections until the listener is closed.
@@ -148,17 +174,20 @@
 	caller, service := endsOf(p)
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	first, known := s.flows[caller]
+	flow, known := s.flows[caller]
 	isOpening := p[offsetFlags]&flagSyn != 0
 	switch {
 	case isOpening && (known || !s.Refuses.Load()):
 		if !known {
-			first = s.open(caller, service)
+			flow = s.open(caller, service)
 		}
-		s.send(packet(service, caller, flagSyn|flagAck, first, seqOf(p)+1, ""))
-	case known && !isOpening && ackOf(p)-first < maxAckAhead:
+		s.send(packet(service, caller, flagSyn|flagAck, flow.first, seqOf(p)+1, ""))
+	case known && p[offsetFlags]&flagReset != 0:
+		delete(s.flows, caller)
+	case known && !isOpening && ackOf(p)-flow.first < maxAckAhead:
 		if len(p) > headerBytes {
-			s.send(packet(service, caller, flagAck, first+1, seqOf(p)+uint32(len(p)-headerBytes), s.Name))
+			answer := packet(service, caller, flagAck, flow.first+1, seqOf(p)+uint32(len(p)-headerBytes), s.Name)
+			s.request(job{flow: flow, request: string(p[headerBytes:]), answer: answer})
 		}
 	default:
 		p[offsetFlags] |= flagReturned
@@ -166,14 +195,52 @@
 	}
 }
 
-func (s *Server) open(caller, service netip.AddrPort) uint32 {
+func (s *Server) open(caller, service netip.AddrPort) *serverFlow {
 	s.seq += 1000
-	s.flows[caller] = s.seq
+	flow := &serverFlow{first: s.seq}
+	s.flows[caller] = flow
 	s.opened.Add(1)
 	if s.OnOpen != nil {
-		s.OnOpen(service)
+		s.OnOpen(core.FlowKey{Caller: caller, Service: service})
+	}
+	return flow
+}
+
+// request answers a request at once, or once it has run. A copy of one that waits or
+// runs is ignored.
+func (s *Server) request(j job) {
+	switch {
+	case s.RunTime.Load() == 0:
+		s.send(j.answer)
+	case j.flow.answer != nil:
+		s.send(j.flow.answer)
+	case !j.flow.accepted:
+		j.flow.accepted = true
+		s.waiting = append(s.waiting, j)
+		s.runNext()
 	}
-	return s.seq
+}
+
+// runNext starts waiting requests while slots are free.
+func (s *Server) runNext() {
+	for s.running < s.Slots && len(s.waiting) > 0 {
+		j := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		s.running++
+		if s.OnRun != nil {
+			s.OnRun(j.request)
+		}
+		time.AfterFunc(time.Duration(s.RunTime.Load()), func() { s.finish(j) })
+	}
+}
+
+func (s *Server) finish(j job) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.running--
+	j.flow.answer = j.answer
+	s.send(j.answer)
+	s.runNext()
 }
 
 func (s *Server) send(p []byte) {
