control: close the TCP address if the UDP address can't be opened

Cause: New returned the error of the UDP address and left the TCP listener open, so that a second attempt in the same process failed on the TCP address.

Change: New closes what it has opened before it returns an error, also one of the registration.

--- a/roles/control/control.go
+++ b/roles/control/control.go
@@ -93,6 +93,7 @@
 	}
 	s.heartbeats, err = traffic.Listen(config.RPC)
 	if err != nil {
+		s.rpc.Close()
 		return nil, err
 	}
 	service := &service{server: s}
@@ -100,7 +101,12 @@
 	if err == nil {
 		err = s.rpc.Register("Replica", &replicaService{server: s})
 	}
-	return s, err
+	if err != nil {
+		s.rpc.Close()
+		_ = s.heartbeats.Close()
+		return nil, err
+	}
+	return s, nil
 }
 
 // Run serves until ctx is done, and then transfers leadership and shuts down.
--- a/wire/server.go
+++ b/wire/server.go
@@ -34,6 +34,9 @@
 	return core.At("register rpc", core.Peer(name), s.rpc.RegisterName(name, receiver))
 }
 
+// Close closes the address of a server whose Serve isn't called.
+func (s *Server) Close() { _ = s.listener.Close() }
+
 // Serve answers calls until ctx is done, then closes every connection. The address is
 // free once it has returned.
 func (s *Server) Serve(ctx context.Context) {
