Don't log "settings reloaded" after an unreadable settings file

Cause: after SIGHUP the line was logged whether or not the file could be read.

Change: it is logged only after a successful reload; the error keeps its line.

--- a/cmd/zinniapulley/platform.go
+++ b/cmd/zinniapulley/platform.go
@@ -144,15 +144,21 @@
 		case <-ctx.Done():
 			return
 		case <-signals:
-			changed := p.reloadSettings()
-			p.log.Info("settings reloaded", "seeds", *p.currentSeeds.Load())
-			if changed != nil {
-				p.warnRestartNeeded(changed)
-			}
+			p.reload()
 		}
 	}
 }
 
+// reload reloads the settings and logs the outcome.
+func (p *platformProcess) reload() {
+	changed := p.reloadSettings()
+	if changed == nil {
+		return
+	}
+	p.log.Info("settings reloaded", "seeds", *p.currentSeeds.Load())
+	p.warnRestartNeeded(changed)
+}
+
 // warnRestartNeeded logs the names of changed settings that apply only at the next start.
 func (p *platformProcess) warnRestartNeeded(changed *platform.Settings) {
 	names := p.settings.Changed(changed)
