feed: don't log seeds whose answers aren't needed any more

Cause: a seed that answered after another one, or whose poll was stopped because another had answered, was logged as "no view from seed", with a nil error or that of the canceled call.

Change: the poll ends without a line once its context is done.

Result: both tests of seed_test.go failed before and pass.

--- a/roles/feed/start.go
+++ b/roles/feed/start.go
@@ -71,6 +71,11 @@
 			case <-ctx.Done():
 			}
 		}
+		if ctx.Err() != nil {
+			// Another seed has answered, or the instance stops.
+			client.Close()
+			return
+		}
 		if !logged {
 			logged = true
 			f.config.Log.Info("no view from seed, retrying", "at", at, "behind", reply.Behind, "error", err)
