wire: a server survives errors of Accept

Cause: Serve ended for good on any error of Accept, also "too many open files", after which the process accepted no call until its restart.

Change: it retries after 5 ms, doubling to at most 1 s, and ends only when its context is done or the listener is closed.

--- a/wire/server.go
+++ b/wire/server.go
@@ -5,10 +5,18 @@
 	"net"
 	"net/netip"
 	"net/rpc"
+	"time"
 
+	"github.com/juju/errors"
 	"zinniapulley.dev/core"
 )
 
+// acceptBackoffMin and acceptBackoffMax bound the delay after a failed Accept.
+const (
+	acceptBackoffMin = 5 * time.Millisecond
+	acceptBackoffMax = time.Second
+)
+
 // Server answers net/rpc calls on one TCP address.
 type Server struct {
 	listener net.Listener
@@ -38,7 +46,7 @@
 func (s *Server) Close() { _ = s.listener.Close() }
 
 // Serve answers calls until ctx is done, then closes every connection. The address is
-// free once it has returned.
+// free once it has returned. Errors such as "too many open files" don't end it.
 func (s *Server) Serve(ctx context.Context) {
 	closed := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
@@ -51,12 +59,23 @@
 			<-closed
 		}
 	}()
+	backoff := acceptBackoffMin
 	for {
 		conn, err := s.listener.Accept()
-		if err != nil {
+		if err == nil {
+			backoff = acceptBackoffMin
+			go s.serveConn(ctx, conn)
+			continue
+		}
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return
+		}
+		select {
+		case <-ctx.Done():
 			return
+		case <-time.After(backoff):
 		}
-		go s.serveConn(ctx, conn)
+		backoff = min(2*backoff, acceptBackoffMax)
 	}
 }
 
