wire: a call that timed out waits until its reply isn't written any more

Cause: Call returned at its deadline while net/rpc could still decode a reply that had just arrived into the caller's value. The race detector found it in roles/systemtest: roles/feed read the reply of a call that had timed out.

Change: Call closes the connection and waits for the end of the call, which follows at once on a closed connection.

Result: TestReplyIsNotWrittenAfterACallHasTimedOut failed before and passes, also with -race.

--- a/wire/client.go
+++ b/wire/client.go
@@ -47,6 +47,9 @@
 		return core.At(core.Step("call "+method), c.Peer(), c.finish(call.Error))
 	case <-ctx.Done():
 		c.Close()
+		// A reply that has arrived may still be decoded into reply. On the closed
+		// connection the call ends soon.
+		<-call.Done
 		return core.At(core.Step("call "+method), c.Peer(), ctx.Err())
 	}
 }
