config: refuse a token hash that two teams share

Cause: a document in which two teams had one token hash was accepted; the token then authenticated only the last of them by name.

Change: a control instance refuses such a submission of the teams before it is proposed, and check reports such a document. An initial configuration is checked by check only, so that a deployment with shared tokens starts with this version.

Result: TestSharedTokenIsRefused failed without the two uses ("Expected an error, got nil") and passes.

--- a/cmd/zinniapulley/check.go
+++ b/cmd/zinniapulley/check.go
@@ -94,6 +94,12 @@
 		_, err = settings.Parse(data)
 		return "settings", err
 	}
-	_, err = config.Parse(data)
+	document, err := config.Parse(data)
+	if err == nil {
+		faults := document.SharedTokens()
+		if len(faults) > 0 {
+			err = faults
+		}
+	}
 	return "configuration", err
 }
--- a/cmd/zinniapulley/operator_test.go
+++ b/cmd/zinniapulley/operator_test.go
@@ -69,3 +69,21 @@
 	unknown := &operator.Error{Code: operator.CodeUnknown, Message: "no answer"}
 	g.Expect(explain(unknown)).To(gomega.MatchError(gomega.ContainSubstring("same --request-id")))
 }
+
+// A document in which two teams have one token hash was accepted; the token then
+// authenticated only one of them.
+func TestSharedTokenIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	flags, _ := operatorFor(t)
+	hash := sha256.Sum256([]byte(testToken))
+	token := hex.EncodeToString(hash[:])
+	teams := `{"feeds": {"tokens": ["` + token + `"], "sections": ["services/*", "dataCentres", "limits", "teams"]}, "kits": {"tokens": ["` + token + `"], "sections": []}}`
+	body := filepath.Join(t.TempDir(), "teams.json")
+	g.Expect(os.WriteFile(body, []byte(teams), 0o600)).To(gomega.Succeed())
+	submit := &configSubmit{changeFlags: changeFlags{operatorFlags: flags}, Section: "teams", File: body, Base: 1}
+	g.Expect(submit.Run()).To(gomega.MatchError(gomega.ContainSubstring("is also a token of team")))
+
+	document := strings.Replace(testConfiguration, `"teams": {`, `"teams": {"kits": {"tokens": ["eacacfab74cf6c8d5e3931653c90b5cc209f88f9ce92fc8fd30c31c113ac5072"], "sections": []}, `, 1)
+	_, err := checkDocument([]byte(document))
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("is also a token of team")))
+}
--- a/config/token.go
+++ b/config/token.go
@@ -5,8 +5,10 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"errors"
+	"fmt"
 
 	"zinniapulley.dev/core"
+	"zinniapulley.dev/core/strictjson"
 )
 
 // TokenHash is the SHA-256 hash of a team's token. Tokens themselves are never
@@ -48,3 +50,32 @@
 	}
 	return team, found
 }
+
+// SharedTokens returns a fault for each token hash that an earlier team has too:
+// Authenticate finds one team for a token. It isn't part of Validate, by which replicas
+// also judge commands and snapshots of earlier versions that allowed it.
+func (d Document) SharedTokens() Faults {
+	var faults Faults
+	owners := make(map[TokenHash]core.Team)
+	for _, name := range sortedKeys(d.Teams) {
+		for i, hash := range d.Teams[name].Tokens {
+			owner, known := owners[hash]
+			if known && owner != name {
+				path := fmt.Sprintf("%s.tokens[%d]", strictjson.Join("teams", string(name)), i)
+				faults = append(faults, strictjson.NewFault(path, fmt.Sprintf("is also a token of team %q", owner)))
+				continue
+			}
+			owners[hash] = name
+		}
+	}
+	return faults
+}
+
+// SharedTokens is Document.SharedTokens for a submission of the teams.
+func (s Submission) SharedTokens() Faults {
+	var d Document
+	if s.Section != SectionTeams || len(d.replaceSection(s)) > 0 {
+		return nil
+	}
+	return d.SharedTokens()
+}
--- a/control/operators.go
+++ b/control/operators.go
@@ -33,6 +33,14 @@
 		return
 	}
 	command := e.build(team, now.Round(0).UTC())
+	if command.Submit != nil {
+		faults := command.Submit.SharedTokens()
+		if len(faults) > 0 {
+			answer := config.Answer{Outcome: config.Invalid, Section: command.Submit.Section, Faults: faults}
+			e.reply.Answer(commandAnswer{err: answer.Err()})
+			return
+		}
+	}
 	h.proposeAndReply(command, e.reply, "operator request", "team", team, "request", describe(command))
 }
 
