--- a/roles/companion/queue.go
+++ b/roles/companion/queue.go
@@ -30,13 +30,13 @@
 	leftLimit   asynclog.Limit
 }
 
-func newQueueMeter(registry metrics.Registry) queueMeter {
+func newQueueMeter(registry metrics.Registry, leftOut *asynclog.LeftOut) queueMeter {
 	m := queueMeter{
 		length:      metrics.GetOrRegisterGauge("queue.length", registry),
 		waits:       metrics.GetOrRegisterHistogram("queue.wait.microseconds", registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 		queued:      metrics.GetOrRegisterCounter("queue.queued", registry),
-		queuedLimit: asynclog.Limit{PerSecond: queueLinesPerSecond},
-		leftLimit:   asynclog.Limit{PerSecond: queueLinesPerSecond},
+		queuedLimit: asynclog.Limit{PerSecond: queueLinesPerSecond, LeftOut: leftOut},
+		leftLimit:   asynclog.Limit{PerSecond: queueLinesPerSecond, LeftOut: leftOut},
 	}
 	for reason := waitqueue.ReasonNone + 1; reason < waitqueue.ReasonCount; reason++ {
 		m.started[reason] = metrics.GetOrRegisterCounter("queue.started."+reason.String(), registry)
@@ -63,7 +63,7 @@
 	switch a.Kind {
 	case gate.Queue:
 		q.queued.Inc(1)
-		leftOut, ok := q.queuedLimit.Allow(now)
+		leftOut, ok := q.queuedLimit.Allow(now, asynclog.Cause{Line: "packet queued", Outcome: "waits", Reason: a.Order.String()})
 		if ok {
 			path.log.Info("packet queued", "flow", a.Packet.Key, "entry", a.To, "copy", a.Packet.Ack, "reason", a.Order, "queued", path.gate.Queued(),
 				"running", path.gate.Running(), "places", path.gate.Room(now).Places(), "server", path.state.target.Server, "linesLeftOut", leftOut)
@@ -79,7 +79,11 @@
 		// It was never queued, and the refusal has its own line.
 		return
 	}
-	leftOut, ok := q.leftLimit.Allow(now)
+	outcome := "refused"
+	if a.Kind == gate.Deliver {
+		outcome = "delivered"
+	}
+	leftOut, ok := q.leftLimit.Allow(now, asynclog.Cause{Line: "packet left the queue", Outcome: outcome, Reason: a.Order.String()})
 	if ok {
 		path.log.Info("packet left the queue", "flow", a.Packet.Key, "delivered", a.Kind == gate.Deliver, "order", a.Order, "reason", a.Reason, "waited", a.Waited,
 			"queued", path.gate.Queued(), "running", path.gate.Running(), "places", path.gate.Room(now).Places(), "server", path.state.target.Server, "linesLeftOut", leftOut)
