--- a/roles/companion/owner.go
+++ b/roles/companion/owner.go
@@ -80,7 +80,7 @@
 		reports:       gate.NewReports(),
 		surveys:       gate.NewSurveys(),
 		meter:         traffic.NewMeter(registry),
-		queue:         newQueueMeter(registry),
+		queue:         newQueueMeter(registry, leftOut),
 	}
 	served := metrics.GetOrRegisterHistogram("requests.microseconds", registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	path.gate.Served = func(key core.FlowKey, took time.Duration) {
