Bound further tries of refused flows, and refuse before companions do

Change: a further try after a refusal for want of time comes out of a budget, one for each five first tries and a hundred saved up; the capacity state's limit on the wait is a third of the objective, as at the companions, in place of a half. TestFurtherTriesOfRefusedFlowsAreBounded fails without the budget.

--- a/capacity/full.go
+++ b/capacity/full.go
@@ -7,11 +7,11 @@
 const knownShare = 0.75
 
 // startShare is the part of the objective, less the run time, that a request may wait for a
-// slot. Reports are up to 0.3 s old: in the replay of an overload of 125%, with the whole
-// time allowed, 0.27 of what the slots sustain was answered in time, with 0.8 of it 0.51,
-// with 0.7 0.87 and with 0.6 or 0.5 all. Companions refuse ordinary requests from 0.6 of
-// the objective on; less than that spares flows the way there.
-const startShare = 0.5
+// slot. Companions queue ordinary requests for up to a third of the objective; a flow that
+// would be refused there is spared the way. Reports are up to 0.3 s old: in the replay of an
+// overload of 125%, with the whole time allowed, 0.27 of what the slots sustain was answered
+// in time, with 0.6 or less of it all.
+const startShare = 1. / 3
 
 // Request is what the decision whether any server can start a request depends on.
 type Request struct {
--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -149,6 +149,8 @@
 	checks  checks
 	// waiting holds the opening packets that can't be decided yet, by flow.
 	waiting map[core.FlowKey]waitingPacket
+	// retries bounds the further tries of refused opening packets.
+	retries retryBudget
 	// heldPackets counts the packets held while their flows are looked up.
 	heldPackets int
 	// sites is reused by Capacity.
@@ -277,6 +279,9 @@
 		return
 	}
 	d.triedAgain(p.Key)
+	if len(flow.attempts) == 0 {
+		d.retries.firstTry()
+	}
 	best.sentOpening(now)
 	flow.attempts = append(flow.attempts, attempt{companion: best.status.Companion, sentAt: now})
 	d.out = append(d.out, Action{
@@ -404,6 +409,10 @@
 		d.reset(p, passthrough.ReasonNoRoute)
 		return d.out
 	}
+	if reason == passthrough.ReasonBusy && !d.retries.take() {
+		d.exhausted(now, p, flow)
+		return d.out
+	}
 	d.tryNext(now, p, flow, r)
 	return d.out
 }
--- /dev/null
+++ b/passthrough/dispatch/retry.go
@@ -0,0 +1,31 @@
+package dispatch
+
+const (
+	// retryShare is how many further companions are tried for each opening packet that is
+	// tried at a first one, on average. When a whole service is full, up to six tries for
+	// each packet took all the processor time of the entry instances, and with it the
+	// packets of flows that had been admitted.
+	retryShare = 0.2
+	// retryBurst is how many further tries may be saved up: about as many flows as an entry
+	// instance gets at once when all callers return after an outage.
+	retryBurst = 100
+)
+
+// retryBudget bounds how often opening packets that a companion has refused for want of
+// time are sent to another one.
+type retryBudget struct {
+	// spent is how much of the burst has been used.
+	spent float64
+}
+
+// firstTry records that an opening packet was sent to a first companion.
+func (b *retryBudget) firstTry() { b.spent = max(b.spent-retryShare, 0) }
+
+// take reports whether another companion may be tried, and counts it.
+func (b *retryBudget) take() bool {
+	if b.spent+1 > retryBurst {
+		return false
+	}
+	b.spent++
+	return true
+}
--- /dev/null
+++ b/passthrough/retry_test.go
@@ -0,0 +1,42 @@
+package passthrough_test
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/passthrough/dispatch"
+)
+
+// When a whole service was full, each opening packet was tried at six companions. The
+// entry instances spent all their processor time on it and lost the packets of flows that
+// had been admitted.
+func TestFurtherTriesOfRefusedFlowsAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(24)
+	const flows = 2000
+	tries := 0
+	for port := 1; port <= flows; port++ {
+		actions := d.Handle(start, syn(port))
+		for sent := targets(actions, dispatch.Forward); len(sent) > 0; sent = targets(actions, dispatch.Forward) {
+			tries++
+			actions = d.HandleRefused(start, sent[0], passthrough.ReasonBusy, syn(port))
+		}
+	}
+	g.Expect(tries).To(gomega.BeNumerically("<=", flows+flows/5+100))
+}
+
+// A single busy companion must not cost a flow its other candidates.
+func TestRefusedFlowIsTriedElsewhere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatcher(24)
+	for port := 1; port <= 500; port++ {
+		first := targets(d.Handle(start, syn(port)), dispatch.Forward)
+		g.Expect(first).To(gomega.HaveLen(1))
+		if port%6 == 0 {
+			second := targets(d.HandleRefused(start, first[0], passthrough.ReasonBusy, syn(port)), dispatch.Forward)
+			g.Expect(second).To(gomega.HaveLen(1))
+			g.Expect(second[0]).NotTo(gomega.Equal(first[0]))
+		}
+	}
+}
