Offer new flows what the plan of their data centre lets them have

Cause: the choice compares loads of all data centres for every flow, so that flows leave while the data centre has room. Actions carry the placement and its reason.

--- a/locality/planner.go
+++ b/locality/planner.go
@@ -416,7 +416,7 @@
 	return false
 }
 
-// Shares calls yield with the share of each service that was ever planned.
+// Shares iterates over the shares of the services that were ever planned.
 func (p *Planner) Shares(yield func(core.ServiceName, float64) bool) {
 	for service, c := range p.plans {
 		if !yield(service, c.share) {
--- a/passthrough/dispatch/choice.go
+++ b/passthrough/dispatch/choice.go
@@ -100,7 +100,8 @@
 			d.ranked = append(d.ranked, c)
 		}
 	}
-	best, load := d.leastLoaded(now, d.first(d.ranked, p.Key, choiceCount, localCount))
+	candidates := d.first(d.ranked, p.Key, choiceCount, localCount)
+	best, load := d.leastLoaded(now, d.offer(now, service, p.Key, candidates))
 	if load >= stalePenalty {
 		best, _ = d.leastLoaded(now, d.ranked)
 	}
--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -75,6 +75,8 @@
 	// Room holds the figures by which no backend server can start the flow in time, nil
 	// otherwise.
 	Room *capacity.Room
+	// Placement is whether the flow stays in this data centre, and why.
+	Placement Placement
 }
 
 // attempt is one companion that an opening packet was sent to.
@@ -140,6 +142,7 @@
 	// ranked, local and firsts are reused by the choices.
 	ranked, local, firsts []*companion
 	out                   []Action
+	leaving               leaving
 }
 
 // New returns a Dispatcher without a view.
@@ -257,7 +260,7 @@
 	flow.attempts = append(flow.attempts, attempt{companion: best.status.Companion, sentAt: now})
 	d.out = append(d.out, Action{
 		Kind: Forward, Reason: passthrough.ReasonChosen, To: best.status.Companion, Packet: p,
-		Status: best.status, Age: now.Sub(best.lastSeen),
+		Status: best.status, Age: now.Sub(best.lastSeen), Placement: d.placementOf(now, p.Key, best),
 	})
 }
 
@@ -459,6 +462,7 @@
 func (d *Dispatcher) Continue(now time.Time) []Action {
 	d.out = d.out[:0]
 	d.requestStatuses(now)
+	d.updatePlans(now)
 	d.retryWaiting(now)
 	d.retryLookups(now)
 	return d.out
