--- a/cmd/zinniapulley/check_test.go
+++ b/cmd/zinniapulley/check_test.go
@@ -27,6 +27,9 @@
 	for name, c := range map[string]struct{ from, to, problem string }{
 		"unknown command":   {"platform control", "platform controll", "roles.control.run"},
 		"unknown flag":      {"platform entry --metrics-port", "platform entry --metric-port", "roles.entry.run"},
+		"negative cost":     {"leaving-cost-ms=5", "leaving-cost-ms=-1", "must be from 0 to 60000 milliseconds"},
+		"cost not a number": {"leaving-cost-ms=5", "leaving-cost-ms=NaN", "must be from 0 to 60000 milliseconds"},
+		"cost with a unit":  {"leaving-cost-ms=5", "leaving-cost-ms=5ms", "--leaving-cost-ms"},
 		"another port":      {"entry --metrics-port=9464", "entry --metrics-port=9465", "roles.entry.metrics"},
 		"nobody serves":     {`serves = ["side"]`, "", `none serves "side"`},
 		"unknown interface": {`serves = ["side"]`, `serves = ["sides"]`, "roles.companion.serves"},
--- a/cmd/zinniapulley/platform.go
+++ b/cmd/zinniapulley/platform.go
@@ -169,7 +169,23 @@
 }
 
 // platformEntry runs an entry instance.
-type platformEntry struct{ platformProcess }
+type platformEntry struct {
+	platformProcess
+
+	PlanLeaving   bool    `help:"Plan which new flows leave the data centre; without it they leave by load alone."`
+	LeavingCostMs float64 `help:"Cost of leaving the data centre: how many milliseconds an answer must gain by it, 0 to 60000." default:"5"`
+}
+
+// maxLeavingCostMs is the highest cost, in milliseconds: no request waits for longer.
+const maxLeavingCostMs = 60_000
+
+// Validate checks the flags; kong calls it.
+func (c *platformEntry) Validate() error {
+	if !(c.LeavingCostMs >= 0 && c.LeavingCostMs <= maxLeavingCostMs) {
+		return errors.Errorf("--leaving-cost-ms=%v: must be from 0 to %d milliseconds", c.LeavingCostMs, maxLeavingCostMs)
+	}
+	return nil
+}
 
 // Run builds the entry instance from its settings and serves.
 func (c *platformEntry) Run() error {
@@ -180,7 +196,8 @@
 	s := c.settings
 	built, err := entry.New(entry.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Packets: s.Listen.Packets, Peers: c.internalAddress(), Seeds: c.seeds,
-		Network: s.Network, Codec: platform.Datagrams{CallerPort: s.Listen.Packets.Port()}, Log: c.log, Metrics: c.metrics,
+		Network: s.Network, PlanLeaving: c.PlanLeaving, LeavingCost: time.Duration(c.LeavingCostMs * float64(time.Millisecond)),
+		Codec: platform.Datagrams{CallerPort: s.Listen.Packets.Port()}, Log: c.log, Metrics: c.metrics,
 	})
 	if err != nil {
 		return err
--- a/roles/entry/entry.go
+++ b/roles/entry/entry.go
@@ -55,9 +55,13 @@
 	// Network is what this instance may send a second, and receive, in bytes; zero if
 	// unknown.
 	Network int
-	Codec   traffic.Codec
-	Log     *slog.Logger
-	Metrics metrics.Registry
+	// PlanLeaving makes the instance plan which flows leave its data centre. LeavingCost
+	// is the time that an answer must gain by that.
+	PlanLeaving bool
+	LeavingCost time.Duration
+	Codec       traffic.Codec
+	Log         *slog.Logger
+	Metrics     metrics.Registry
 }
 
 // Entry is one entry instance.
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -38,6 +38,8 @@
 	buffer      []byte
 	meter       *traffic.Meter
 	capacity    capacityMeter
+	// placements counts the new flows that stayed in the data centre and those that left.
+	placements [dispatch.PlacementCount]metrics.Counter
 }
 
 func newPacketPath(e *Entry) *packetPath {
@@ -52,6 +54,12 @@
 		capacity:    newCapacityMeter(e.config.Metrics),
 	}
 	path.dispatcher.SetNetwork(e.config.Network)
+	if e.config.PlanLeaving {
+		path.dispatcher.PlanLeaving(e.config.LeavingCost)
+	}
+	for placement := dispatch.PlacementNone + 1; placement < dispatch.PlacementCount; placement++ {
+		path.placements[placement] = metrics.GetOrRegisterCounter("flows."+placement.String(), e.config.Metrics)
+	}
 	return path
 }
 
@@ -74,6 +82,7 @@
 	path.execute(now, path.dispatcher.Continue(now))
 	path.entry.companionCount.Store(int64(path.dispatcher.Companions()))
 	metrics.GetOrRegisterGauge("flows.cached", path.entry.config.Metrics).Update(int64(path.dispatcher.Flows()))
+	path.reportPlans()
 	if path.capacity.due(now) {
 		path.capacity.update(now, path.dispatcher.Capacity(now))
 	}
@@ -160,6 +169,9 @@
 		switch a.Kind {
 		case dispatch.Forward:
 			path.send(hop.KindForward, a)
+			if a.Placement != dispatch.PlacementNone {
+				path.placements[a.Placement].Inc(1)
+			}
 		case dispatch.Lookup:
 			path.send(hop.KindLookup, a)
 		case dispatch.Query:
@@ -214,7 +226,7 @@
 		if ok {
 			path.log.Info("flow routed", "flow", a.Packet.Key, "companion", a.To, "service", a.Status.Service, "server", a.Status.Server,
 				"running", a.Status.Running, "flows", a.Status.Flows, "slots", a.Status.Slots, "statusAge", a.Age,
-				"version", path.dispatcher.Version(), "reason", a.Reason, "linesLeftOut", leftOut)
+				"placement", a.Placement, "version", path.dispatcher.Version(), "reason", a.Reason, "linesLeftOut", leftOut)
 		}
 	case a.Room != nil:
 		path.capacity.countRefusal(a)
