Judge opening packets without changing state, and explain the verdict

Cause: operators ask where a flow would go and why; the decision was interleaved with the records of attempts and waiting packets. Change: opening.go judges (judgeOpening, judgeNext, judgeExhausted) and then applies a verdict; Explain calls the same code and lists the companions with what became of each. Tests of passthrough pass unchanged.

--- a/passthrough/dispatch/choice.go
+++ b/passthrough/dispatch/choice.go
@@ -83,15 +83,21 @@
 // can admit it, and whether any was left out since it is busy. Further ones are compared
 // only if none of these is in good health.
 func (d *Dispatcher) best(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route, service core.ServiceName) (*companion, bool) {
+	candidates, busy := d.candidates(now, p, flow, r, service)
+	best, load := d.leastLoaded(now, d.offer(now, service, p.Key, candidates))
+	if load >= stalePenalty {
+		best, _ = d.leastLoaded(now, d.ranked)
+	}
+	return best, busy
+}
+
+// candidates returns the first companions, in the flow's order, that can admit it, and
+// whether any was left out since it is busy. d.ranked then holds all that can admit it.
+func (d *Dispatcher) candidates(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route, service core.ServiceName) ([]*companion, bool) {
 	d.ranked = d.ranked[:0]
 	busy := false
 	own := passthrough.UrgencyOf(p, r)
-	state := d.byService[service]
-	if state == nil {
-		return nil, false
-	}
-	state.summarise(now)
-	for _, c := range state.companions {
+	for _, c := range d.companionsOf(now, service) {
 		switch {
 		case !d.canAdmit(c, flow):
 		case now.Before(c.busyUntil[own]):
@@ -100,12 +106,17 @@
 			d.ranked = append(d.ranked, c)
 		}
 	}
-	candidates := d.first(d.ranked, p.Key, choiceCount, localCount)
-	best, load := d.leastLoaded(now, d.offer(now, service, p.Key, candidates))
-	if load >= stalePenalty {
-		best, _ = d.leastLoaded(now, d.ranked)
+	return d.first(d.ranked, p.Key, choiceCount, localCount), busy
+}
+
+// companionsOf returns the companions of a service, of which it updates the summary.
+func (d *Dispatcher) companionsOf(now time.Time, service core.ServiceName) []*companion {
+	state := d.byService[service]
+	if state == nil {
+		return nil
 	}
-	return best, busy
+	state.summarise(now)
+	return state.companions
 }
 
 // leastLoaded returns the companion with the least load, nil for none.
--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -60,6 +60,11 @@
 	Drop
 )
 
+// String returns the kind in words.
+func (k Kind) String() string {
+	return [...]string{"none", "forward", "lookup", "query", "survey", "request status", "reset", "wait", "drop"}[min(k, Drop)]
+}
+
 // Action is one action on a packet.
 type Action struct {
 	Kind   Kind
@@ -202,34 +207,12 @@
 
 // openingPacket decides about a packet that requests a new flow.
 func (d *Dispatcher) openingPacket(now time.Time, p *passthrough.Packet) {
-	if !d.settled(now) {
-		d.wait(now, p, d.unsettledReason())
-		return
-	}
 	flow, known := d.flows[p.Key]
-	if known && flow.owner.IsValid() {
-		flow.lastSeen = now
-		d.stopWaiting(p.Key)
-		d.forward(now, p, flow.owner, passthrough.ReasonCached)
-		return
-	}
-	r := d.table.Route(p.Key.Service)
-	if r == nil {
-		d.stopWaiting(p.Key)
-		d.reset(p, passthrough.ReasonNoRoute)
-		return
-	}
 	if !known {
 		flow = &cachedFlow{}
-		d.flows[p.Key] = flow
 	}
 	flow.lastSeen = now
-	active := flow.activeCompanion(now)
-	if active.IsValid() {
-		d.forward(now, p, active, passthrough.ReasonAlreadyTried)
-		return
-	}
-	d.tryNext(now, p, flow, r)
+	d.applyOpening(now, p, flow, d.judgeOpening(now, p, flow))
 }
 
 // activeCompanion returns the companion that a copy of the opening packet goes to:
@@ -243,66 +226,6 @@
 	return netip.AddrPort{}
 }
 
-// tryNext sends the flow to the best companion that it wasn't sent to before.
-func (d *Dispatcher) tryNext(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route) {
-	best, busy := d.choose(now, p, flow, r)
-	if best == nil || len(flow.attempts) >= maxAttempts {
-		flow.busy = flow.busy || busy
-		d.exhausted(now, p, flow)
-		return
-	}
-	if room := d.noRoom(now, p, flow, r, best); room != nil {
-		d.refuseFull(now, p, flow, r, room)
-		return
-	}
-	d.triedAgain(p.Key)
-	best.sentOpening(now)
-	flow.attempts = append(flow.attempts, attempt{companion: best.status.Companion, sentAt: now})
-	d.out = append(d.out, Action{
-		Kind: Forward, Reason: passthrough.ReasonChosen, To: best.status.Companion, Packet: p,
-		Status: best.status, Age: now.Sub(best.lastSeen), Placement: d.placementOf(now, p.Key, best),
-	})
-}
-
-// exhausted handles an opening packet that no further companion can admit.
-func (d *Dispatcher) exhausted(now time.Time, p *passthrough.Packet, flow *cachedFlow) {
-	if len(flow.attempts) == 0 && !flow.busy {
-		d.remove(p.Key, flow)
-		if now.Sub(d.started) < startGrace {
-			d.wait(now, p, passthrough.ReasonStarting)
-			return
-		}
-		d.stopWaiting(p.Key)
-		d.reset(p, passthrough.ReasonNoCandidate)
-		return
-	}
-	if d.repeatOutstanding(now, p, flow) {
-		return
-	}
-	busy := flow.busy && p.Ack < callerCopies
-	d.remove(p.Key, flow)
-	if busy {
-		// There may be room soon, and the caller still waits.
-		d.wait(now, p, passthrough.ReasonBusy)
-		return
-	}
-	d.stopWaiting(p.Key)
-	d.reset(p, passthrough.ReasonAllRefused)
-}
-
-// repeatOutstanding sends an opening packet to a companion that it was sent to and that
-// hasn't refused it, and may have admitted the flow. It reports whether there is one.
-func (d *Dispatcher) repeatOutstanding(now time.Time, p *passthrough.Packet, flow *cachedFlow) bool {
-	for i := range flow.attempts {
-		if !flow.attempts[i].refused {
-			flow.attempts[i].sentAt, flow.attempts[i].repeated = now, true
-			d.forward(now, p, flow.attempts[i].companion, passthrough.ReasonAlreadyTried)
-			return true
-		}
-	}
-	return false
-}
-
 // laterPacket decides about a packet of a flow that should be open.
 func (d *Dispatcher) laterPacket(now time.Time, p *passthrough.Packet) {
 	flow, known := d.flows[p.Key]
@@ -382,7 +305,7 @@
 		d.reset(p, passthrough.ReasonNoRoute)
 		return d.out
 	}
-	d.tryNext(now, p, flow, r)
+	d.applyOpening(now, p, flow, d.judgeNext(now, p, flow, r))
 	return d.out
 }
 
--- a/passthrough/dispatch/full.go
+++ b/passthrough/dispatch/full.go
@@ -81,23 +81,17 @@
 	return !d.lastSweepCall.IsZero() && now.Sub(d.lastSweepCall) > pauseLimit
 }
 
-// refuseFull handles an opening packet that no backend server can start in time. It waits
-// for a short time if there may be room yet.
-func (d *Dispatcher) refuseFull(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route, room *capacity.Room) {
-	if d.repeatOutstanding(now, p, flow) {
-		return
+// judgeFull decides about an opening packet that no backend server can start in time. It
+// waits for a short time if there may be room yet.
+func (d *Dispatcher) judgeFull(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route, room *capacity.Room) verdict {
+	v, outstanding := flow.judgeOutstanding()
+	if outstanding {
+		return v
 	}
-	d.remove(p.Key, flow)
-	first := len(d.out)
 	if d.keepForRoom(now, p, r, room) {
-		d.wait(now, p, passthrough.ReasonFull)
-	} else {
-		d.stopWaiting(p.Key)
-		d.reset(p, passthrough.ReasonFull)
-	}
-	for i := first; i < len(d.out); i++ {
-		d.out[i].Room = room
+		return verdict{kind: Wait, reason: passthrough.ReasonFull, ended: true, room: room}
 	}
+	return verdict{kind: Reset, reason: passthrough.ReasonFull, ended: true, room: room}
 }
 
 // keepForRoom reports whether the packet is kept until a backend server may have room.
