--- a/cmd/zinniapulley/main.go
+++ b/cmd/zinniapulley/main.go
@@ -23,6 +23,7 @@
 	Status     statusCommand     `cmd:"" help:"Show members, instances with their revisions, and backend servers."`
 	Datacentre datacentreCommand `cmd:"" help:"Take a data centre out of service or return it to service."`
 	Drain      drainCommand      `cmd:"" help:"Start or stop draining a backend server."`
+	Explain    explainCommand    `cmd:"" help:"Ask an entry instance where a caller's flow would go now, and why."`
 	Demo       demoCommand       `cmd:"" help:"Run all roles in this process, with small backend servers and callers."`
 }
 
--- a/cmd/zinniapulley/platform.go
+++ b/cmd/zinniapulley/platform.go
@@ -52,9 +52,11 @@
 	MetricsPort uint16     `help:"TCP port of the metrics; 0 for none." default:"0"`
 	LogLevel    slog.Level `help:"Lowest level that is logged: debug, info, warn or error." default:"info"`
 
-	settings     *platform.Settings
-	log          *slog.Logger
-	metrics      metrics.Registry
+	settings *platform.Settings
+	log      *slog.Logger
+	metrics  metrics.Registry
+	// questions answers operators' questions at the metrics address, nil for none.
+	questions    http.Handler
 	currentSeeds atomic.Pointer[[]netip.AddrPort]
 }
 
@@ -89,7 +91,7 @@
 // serve runs the role and its HTTP servers until a signal stops them.
 func (p *platformProcess) serve(r role, listeners ...listener) error {
 	if p.MetricsPort != 0 {
-		listeners = append(listeners, listener{netip.AddrPortFrom(p.settings.Address, p.MetricsPort), metricsHandler(p.metrics)})
+		listeners = append(listeners, listener{netip.AddrPortFrom(p.settings.Address, p.MetricsPort), metricsHandler(p.metrics, p.questions)})
 	}
 	for _, l := range listeners {
 		if !l.address.IsValid() {
@@ -161,9 +163,12 @@
 	}
 }
 
-// metricsHandler writes the metrics as text.
-func metricsHandler(registry metrics.Registry) http.Handler {
+// metricsHandler writes the metrics as text and answers questions, if there is a handler.
+func metricsHandler(registry metrics.Registry, questions http.Handler) http.Handler {
 	mux := http.NewServeMux()
+	if questions != nil {
+		mux.Handle("GET "+pathExplain, questions)
+	}
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(registry, w) })
 	return mux
 }
@@ -202,6 +207,7 @@
 	if err != nil {
 		return err
 	}
+	c.questions = explainHandler(built)
 	return c.serve(built, listener{s.Listen.Ready, platform.ReadyHandler(built)})
 }
 
--- a/roles/entry/entry.go
+++ b/roles/entry/entry.go
@@ -75,6 +75,7 @@
 	// companionCount is the number of companions that the packet path tracks.
 	companionCount atomic.Int64
 	stopping       atomic.Bool
+	questions      chan question
 }
 
 // New opens the sockets. They buffer packets until Run is called.
@@ -90,8 +91,9 @@
 	}
 	return &Entry{
 		config: config, callers: callers, peers: peers,
-		loop:  loop.New[event](mailboxSize),
-		lines: asynclog.New(config.Log.Handler(), logQueueLength),
+		loop:      loop.New[event](mailboxSize),
+		lines:     asynclog.New(config.Log.Handler(), logQueueLength),
+		questions: make(chan question, maxQuestions),
 	}, nil
 }
 
--- a/roles/entry/owner.go
+++ b/roles/entry/owner.go
@@ -83,6 +83,7 @@
 	path.entry.companionCount.Store(int64(path.dispatcher.Companions()))
 	metrics.GetOrRegisterGauge("flows.cached", path.entry.config.Metrics).Update(int64(path.dispatcher.Flows()))
 	path.reportPlans()
+	path.answerQuestions(now)
 	if path.capacity.due(now) {
 		path.capacity.update(now, path.dispatcher.Capacity(now))
 	}
