--- a/passthrough/locality_test.go
+++ b/passthrough/locality_test.go
@@ -234,3 +234,26 @@
 		g.Expect(targets(s.Handle(s.now, syn(port)), dispatch.Forward)).To(gomega.Equal(wanted))
 	}
 }
+
+// The plan must not cost the choice an allocation at any size of the deployment.
+func TestPlannedChoiceMakesNoAllocation(t *testing.T) {
+	for _, count := range []int{5, 54, 1650} {
+		g := gomega.NewWithT(t)
+		allocations := func(plan bool) float64 {
+			s := &twoSites{Dispatcher: dispatch.New(start, "north"), now: start, count: count, running: map[core.DataCentre]int{"north": 12, otherSite: 1}}
+			s.SetTable(table(1))
+			if plan {
+				s.PlanLeaving(leavingCost)
+			}
+			s.run(1500 * time.Millisecond)
+			s.open(1000)
+			packets := make([]*passthrough.Packet, 1001)
+			for i := range packets {
+				packets[i] = syn(5000 + i)
+			}
+			next := 0
+			return testing.AllocsPerRun(len(packets)-1, func() { s.Handle(s.now, packets[next]); next++ })
+		}
+		g.Expect(allocations(true)).To(gomega.Equal(allocations(false)))
+	}
+}
