Let a flow leave that no backend server here can start in time

Cause: while the share of a plan rises, flows that stay would first be refused by full companions of their own data centre. Change: offer checks by the capacity state whether the best companion here can start the flow within its objective, and else offers all candidates.

--- a/passthrough/dispatch/choice.go
+++ b/passthrough/dispatch/choice.go
@@ -84,7 +84,7 @@
 // only if none of these is in good health.
 func (d *Dispatcher) best(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route, service core.ServiceName) (*companion, bool) {
 	candidates, busy := d.candidates(now, p, flow, r, service)
-	best, load := d.leastLoaded(now, d.offer(now, service, p.Key, candidates))
+	best, load := d.leastLoaded(now, d.offer(now, p, r, service, candidates))
 	if load >= stalePenalty {
 		best, _ = d.leastLoaded(now, d.ranked)
 	}
--- a/passthrough/dispatch/full.go
+++ b/passthrough/dispatch/full.go
@@ -34,7 +34,7 @@
 	if r.Objective <= 0 || best.service.run == 0 || d.paused(now) {
 		return nil
 	}
-	request := capacity.Request{Objective: r.Objective, Timeout: r.Timeout, Elapsed: d.elapsed(now, p), Urgent: passthrough.Urgent(r)}
+	request := d.requestOf(now, p, r)
 	var room capacity.Room
 	d.addRoom(now, &room, request, best)
 	if !room.None() {
@@ -64,6 +64,11 @@
 	return &figures
 }
 
+// requestOf returns what the decision about an opening packet's request depends on.
+func (d *Dispatcher) requestOf(now time.Time, p *passthrough.Packet, r *route.Route) capacity.Request {
+	return capacity.Request{Objective: r.Objective, Timeout: r.Timeout, Elapsed: d.elapsed(now, p), Urgent: passthrough.Urgent(r)}
+}
+
 // addRoom counts a companion that a request may go to. Its last load doesn't count if it
 // is too old, or if this entry instance has received reports for too short a time.
 func (d *Dispatcher) addRoom(now time.Time, room *capacity.Room, request capacity.Request, c *companion) {
--- a/passthrough/dispatch/locality.go
+++ b/passthrough/dispatch/locality.go
@@ -8,6 +8,7 @@
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/locality"
 	"zinniapulley.dev/passthrough"
+	"zinniapulley.dev/route"
 )
 
 const (
@@ -38,7 +39,8 @@
 	StayedUnplanned
 	// LeftPlanned: the plan lets the flow leave.
 	LeftPlanned
-	// LeftNoRoom: the plan lets the flow stay, but no backend server here can admit it.
+	// LeftNoRoom: the plan lets the flow stay, but no backend server here can admit it, or
+	// start it in time.
 	LeftNoRoom
 	// LeftUnplanned: there is no plan, and the load here was higher.
 	LeftUnplanned
@@ -162,15 +164,15 @@
 // offer returns which of the candidates a new flow is offered: all without a plan, those of
 // its own data centre if it stays, and also those of the planned one if it may leave. They
 // remain among the candidates that a lookup asks first. A flow that stays is offered
-// others once none here is in good health. d.local must hold all that can admit the flow
-// here. The result is valid until the next call.
-func (d *Dispatcher) offer(now time.Time, service core.ServiceName, key core.FlowKey, candidates []*companion) []*companion {
-	decision, destination := d.decide(now, service, key)
+// others once none here is in good health and can start it in time. d.local must hold all
+// that can admit the flow here. The result is valid until the next call.
+func (d *Dispatcher) offer(now time.Time, p *passthrough.Packet, r *route.Route, service core.ServiceName, candidates []*companion) []*companion {
+	decision, destination := d.decide(now, service, p.Key)
 	var offered []*companion
 	switch decision {
 	case locality.Stay:
 		offered = d.within(candidates, func(name core.DataCentre) bool { return name == d.dataCentre })
-		if !d.anyHealthy(now, offered) {
+		if !d.canServe(now, p, r, offered) {
 			offered = d.local
 		}
 	case locality.Leave:
@@ -183,7 +185,7 @@
 		}
 	case locality.Unplanned:
 	}
-	if !d.anyHealthy(now, offered) {
+	if !d.canServe(now, p, r, offered) {
 		return candidates
 	}
 	return offered
@@ -200,9 +202,19 @@
 	return d.leaving.offered
 }
 
-func (d *Dispatcher) anyHealthy(now time.Time, companions []*companion) bool {
-	_, load := d.leastLoaded(now, companions)
-	return len(companions) > 0 && load < stalePenalty
+// canServe reports whether the best of the companions is in good health and, as far as is
+// known, can start the flow in time.
+func (d *Dispatcher) canServe(now time.Time, p *passthrough.Packet, r *route.Route, companions []*companion) bool {
+	best, load := d.leastLoaded(now, companions)
+	if best == nil || load >= stalePenalty {
+		return false
+	}
+	if r.Objective <= 0 || best.service.run == 0 || d.paused(now) {
+		return true
+	}
+	var room capacity.Room
+	d.addRoom(now, &room, d.requestOf(now, p, r), best)
+	return !room.None()
 }
 
 // placementOf returns the placement of a flow at the companion.
