Count unreachable companions for each service of a data centre

Cause: a few machines of one service that don't respond would have kept the flows of a smaller service from leaving to the same data centre. Result: tests of passthrough and locality pass.

--- a/locality/planner.go
+++ b/locality/planner.go
@@ -61,7 +61,7 @@
 	// Rate is how many requests a second the backend servers sustain.
 	Rate float64
 	// Objective is the shortest time in which the service's callers expect an answer; zero
-	// if unknown. It is used of the own data centre only.
+	// if unknown. Only that of the own data centre is used.
 	Objective time.Duration
 	// Way is the time that the network adds to an answer from there.
 	Way time.Duration
--- a/passthrough/dispatch/locality.go
+++ b/passthrough/dispatch/locality.go
@@ -66,20 +66,25 @@
 	changes  []locality.Change
 	// newest is when the newest report came from each data centre.
 	newest map[core.DataCentre]time.Time
-	// unreachable counts the companions of each data centre that leave opening packets
-	// without response.
-	unreachable map[core.DataCentre]int
+	// unreachable counts the companions that leave opening packets without response.
+	unreachable map[serviceSite]int
 	// sites and offered are reused by the updates and the choices.
 	sites   []locality.Site
 	offered []*companion
 }
 
+// serviceSite is a service in a data centre.
+type serviceSite struct {
+	service    core.ServiceName
+	dataCentre core.DataCentre
+}
+
 // PlanLeaving makes this entry instance plan which flows leave its data centre. The cost
 // is the time that an answer must gain.
 func (d *Dispatcher) PlanLeaving(cost time.Duration) {
 	d.leaving = leaving{
 		planner: locality.New(cost), interval: planInterval,
-		newest: make(map[core.DataCentre]time.Time), unreachable: make(map[core.DataCentre]int),
+		newest: make(map[core.DataCentre]time.Time), unreachable: make(map[serviceSite]int),
 	}
 }
 
@@ -119,7 +124,7 @@
 	for _, c := range d.companions {
 		l.interval = max(l.interval, c.interval())
 		if c.unreachable(now) {
-			l.unreachable[c.status.DataCentre]++
+			l.unreachable[serviceSite{c.status.Service, c.status.DataCentre}]++
 		}
 	}
 	d.planSites(now)
@@ -253,7 +258,8 @@
 			switch {
 			case site.DataCentre == d.dataCentre:
 				own = site
-			case 2*l.unreachable[site.DataCentre] <= sites[i].Servers:
+			case 2*l.unreachable[serviceSite{service, site.DataCentre}] <= sites[i].Servers:
+				// Most of the servers counted can be reached.
 				l.sites = append(l.sites, site)
 			}
 		}
