--- a/passthrough/dispatch/full.go
+++ b/passthrough/dispatch/full.go
@@ -113,7 +113,11 @@
 
 // Capacity returns the state of each service and data centre, by the reports that are
 // current. The result is valid until the next call.
-func (d *Dispatcher) Capacity(now time.Time) []capacity.Site {
+func (d *Dispatcher) Capacity(now time.Time) []capacity.Site { return d.capacitySites(now, true) }
+
+// capacitySites returns the state with or without the flows that were sent since the
+// reports. Most of these have been answered, so that the state without them is the mean.
+func (d *Dispatcher) capacitySites(now time.Time, withUnreported bool) []capacity.Site {
 	d.sites = d.sites[:0]
 	for service, state := range d.byService {
 		if service == "" {
@@ -130,7 +134,11 @@
 				site.Silent++
 				continue
 			}
-			site.Add(c.server(state.run), c.unreported.total(), now.Sub(c.loadAt))
+			extra := 0
+			if withUnreported {
+				extra = c.unreported.total()
+			}
+			site.Add(c.server(state.run), extra, now.Sub(c.loadAt))
 		}
 	}
 	slices.SortFunc(d.sites, func(a, b capacity.Site) int {
--- a/passthrough/dispatch/locality.go
+++ b/passthrough/dispatch/locality.go
@@ -245,7 +245,7 @@
 // planSites updates the plan of each service with the capacity state.
 func (d *Dispatcher) planSites(now time.Time) {
 	l := &d.leaving
-	sites := d.Capacity(now)
+	sites := d.capacitySites(now, false)
 	for len(sites) > 0 {
 		service, count := sites[0].Service, 1
 		for count < len(sites) && sites[count].Service == service {
@@ -283,7 +283,7 @@
 	}
 	site.Way = assumedWay
 	if s.Way > 0 {
-		site.Way = tripsPerRequest * max(s.Way-d.wayTo(d.dataCentre).delay(), 0)
+		site.Way = tripsPerRequest * max(s.Way-d.ownWay.delay(), 0)
 	}
 	return site
 }
