Compare the offered companions once for each choice

Cause: offer compared its companions to tell whether they can serve, and the choice again. Tests of passthrough pass.

--- a/passthrough/dispatch/choice.go
+++ b/passthrough/dispatch/choice.go
@@ -84,11 +84,11 @@
 // only if none of these is in good health.
 func (d *Dispatcher) best(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route, service core.ServiceName) (*companion, bool) {
 	candidates, busy := d.candidates(now, p, flow, r, service)
-	best, load := d.leastLoaded(now, d.offer(now, p, r, service, candidates))
-	if load >= stalePenalty {
-		best, _ = d.leastLoaded(now, d.ranked)
+	choice := d.offer(now, p, r, service, candidates)
+	if choice.load >= stalePenalty {
+		choice = d.compare(now, d.ranked)
 	}
-	return best, busy
+	return choice.best, busy
 }
 
 // candidates returns the first companions, in the flow's order, that can admit it, and
--- a/passthrough/dispatch/explain.go
+++ b/passthrough/dispatch/explain.go
@@ -108,7 +108,7 @@
 // explainCandidates returns the companions of the service with what became of each.
 func (d *Dispatcher) explainCandidates(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route, e *Explanation) []Candidate {
 	first, _ := d.candidates(now, p, flow, r, e.Service)
-	offered := d.offer(now, p, r, e.Service, first)
+	choice := d.offer(now, p, r, e.Service, first)
 	var candidates []Candidate
 	for _, c := range d.companionsOf(now, e.Service) {
 		candidate := Candidate{
@@ -118,7 +118,7 @@
 		switch {
 		case e.Reason == passthrough.ReasonChosen && e.To == c.status.Companion:
 			candidate.Result = Chosen
-		case slices.Contains(offered, c):
+		case slices.Contains(choice.companions, c):
 			candidate.Result = Compared
 		case slices.Contains(first, c):
 			candidate.Result = Withheld
--- a/passthrough/dispatch/locality.go
+++ b/passthrough/dispatch/locality.go
@@ -166,34 +166,52 @@
 	return d.leaving.planner.Decide(service, hashOf(key))
 }
 
+// offered holds the companions that a new flow is offered, the best of them, nil for none,
+// and its load.
+type offered struct {
+	companions []*companion
+	best       *companion
+	load       float64
+}
+
+// compare returns the companions with the best of them.
+func (d *Dispatcher) compare(now time.Time, companions []*companion) offered {
+	best, load := d.leastLoaded(now, companions)
+	return offered{companions: companions, best: best, load: load}
+}
+
 // offer returns which of the candidates a new flow is offered: all without a plan, those of
 // its own data centre if it stays, and also those of the planned one if it may leave. They
 // remain among the candidates that a lookup asks first. A flow that stays is offered
 // others once none here is in good health and can start it in time. d.local must hold all
 // that can admit the flow here. The result is valid until the next call.
-func (d *Dispatcher) offer(now time.Time, p *passthrough.Packet, r *route.Route, service core.ServiceName, candidates []*companion) []*companion {
+func (d *Dispatcher) offer(now time.Time, p *passthrough.Packet, r *route.Route, service core.ServiceName, candidates []*companion) offered {
 	decision, destination := d.decide(now, service, p.Key)
-	var offered []*companion
 	switch decision {
 	case locality.Stay:
-		offered = d.within(candidates, func(name core.DataCentre) bool { return name == d.dataCentre })
-		if !d.canServe(now, p, r, offered) {
-			offered = d.local
+		own := d.compare(now, d.within(candidates, func(name core.DataCentre) bool { return name == d.dataCentre }))
+		if d.canServe(now, p, r, own) {
+			return own
+		}
+		own = d.compare(now, d.local)
+		if d.canServe(now, p, r, own) {
+			return own
 		}
 	case locality.Leave:
-		offered = d.within(candidates, func(name core.DataCentre) bool { return name == d.dataCentre || name == destination })
-		if len(offered) == min(len(d.local), localCount) {
+		both := d.within(candidates, func(name core.DataCentre) bool { return name == d.dataCentre || name == destination })
+		if len(both) == min(len(d.local), localCount) {
 			// None of the candidates is in the planned data centre.
-			offered = d.within(candidates, func(name core.DataCentre) bool {
+			both = d.within(candidates, func(name core.DataCentre) bool {
 				return name == d.dataCentre || d.leaving.planner.Accepts(service, name)
 			})
 		}
+		compared := d.compare(now, both)
+		if d.canServe(now, p, r, compared) {
+			return compared
+		}
 	case locality.Unplanned:
 	}
-	if !d.canServe(now, p, r, offered) {
-		return candidates
-	}
-	return offered
+	return d.compare(now, candidates)
 }
 
 // within returns the candidates in the data centres that match.
@@ -209,16 +227,15 @@
 
 // canServe reports whether the best of the companions is in good health and, as far as is
 // known, can start the flow in time.
-func (d *Dispatcher) canServe(now time.Time, p *passthrough.Packet, r *route.Route, companions []*companion) bool {
-	best, load := d.leastLoaded(now, companions)
-	if best == nil || load >= stalePenalty {
+func (d *Dispatcher) canServe(now time.Time, p *passthrough.Packet, r *route.Route, o offered) bool {
+	if o.best == nil || o.load >= stalePenalty {
 		return false
 	}
-	if r.Objective <= 0 || best.service.run == 0 || d.paused(now) {
+	if r.Objective <= 0 || o.best.service.run == 0 || d.paused(now) {
 		return true
 	}
 	var room capacity.Room
-	d.addRoom(now, &room, d.requestOf(now, p, r), best)
+	d.addRoom(now, &room, d.requestOf(now, p, r), o.best)
 	return !room.None()
 }
 
