Withdraw from silent data centres after the update of the plans

Cause: the update ran after the withdrawal and could raise the share of a data centre that had just gone silent, until the next tick 50 ms later. Result: tests of passthrough pass.

--- a/passthrough/dispatch/locality.go
+++ b/passthrough/dispatch/locality.go
@@ -115,10 +115,15 @@
 		l.planner.Reset()
 		return
 	}
-	d.withdrawSilent(now)
-	if now.Sub(l.plannedAt) < l.interval {
-		return
+	if now.Sub(l.plannedAt) >= l.interval {
+		d.planServices(now)
 	}
+	d.withdrawSilent(now)
+}
+
+// planServices updates the plan of each service.
+func (d *Dispatcher) planServices(now time.Time) {
+	l := &d.leaving
 	l.plannedAt, l.interval = now, planInterval
 	clear(l.unreachable)
 	for _, c := range d.companions {
