--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -64,6 +64,11 @@
 	Drop
 )
 
+// String returns the kind in words.
+func (k Kind) String() string {
+	return [...]string{"none", "forward", "lookup", "query", "survey", "request status", "reset", "wait", "drop"}[min(k, Drop)]
+}
+
 // Action is one action on a packet.
 type Action struct {
 	Kind   Kind
@@ -79,6 +84,8 @@
 	// Room holds the figures by which no backend server can start the flow in time, nil
 	// otherwise.
 	Room *capacity.Room
+	// Placement is whether the flow stays in this data centre, and why.
+	Placement Placement
 }
 
 // attempt is one companion that an opening packet was sent to.
@@ -142,11 +149,11 @@
 	// lookups counts the lookups and relays; active holds the lookups that await answers.
 	lookups uint32
 	active  map[*flowLookup]core.FlowKey
-	// due and planned are reused: the lookups to continue, and the messages of one.
-	due     []*flowLookup
-	planned []Action
-	relays  RelayCounts
-	checks  checks
+	// due and lookupMessages are reused: the lookups to continue, and the messages of one.
+	due            []*flowLookup
+	lookupMessages []Action
+	relays         RelayCounts
+	checks         checks
 	// waiting holds the opening packets that can't be decided yet, by flow.
 	waiting map[core.FlowKey]waitingPacket
 	// retries bounds the further tries of refused opening packets.
@@ -158,6 +165,7 @@
 	// ranked, local and firsts are reused by the choices.
 	ranked, local, firsts []*companion
 	out                   []Action
+	leaving               leaving
 }
 
 // New returns a Dispatcher without a view.
@@ -218,34 +226,12 @@
 
 // openingPacket decides about a packet that requests a new flow.
 func (d *Dispatcher) openingPacket(now time.Time, p *passthrough.Packet) {
-	if !d.settled(now) {
-		d.wait(now, p, d.unsettledReason())
-		return
-	}
 	flow, known := d.flows[p.Key]
-	if known && flow.owner.IsValid() {
-		flow.lastSeen = now
-		d.stopWaiting(p.Key)
-		d.forward(now, p, flow.owner, passthrough.ReasonCached)
-		return
-	}
-	r := d.table.Route(p.Key.Service)
-	if r == nil {
-		d.stopWaiting(p.Key)
-		d.reset(p, passthrough.ReasonNoRoute)
-		return
-	}
 	if !known {
 		flow = &cachedFlow{}
-		d.flows[p.Key] = flow
 	}
 	flow.lastSeen = now
-	active := d.activeCompanion(now, flow)
-	if active.IsValid() {
-		d.forward(now, p, active, passthrough.ReasonAlreadyTried)
-		return
-	}
-	d.tryNext(now, p, flow, r)
+	d.applyOpening(now, p, flow, d.judgeOpening(now, p, flow))
 }
 
 // activeCompanion returns the companion that a copy of the opening packet goes to:
@@ -266,69 +252,6 @@
 	return known && c.fresh(now) && !c.unreachable(now)
 }
 
-// tryNext sends the flow to the best companion that it wasn't sent to before.
-func (d *Dispatcher) tryNext(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route) {
-	best, busy := d.choose(now, p, flow, r)
-	if best == nil || len(flow.attempts) >= maxAttempts {
-		flow.busy = flow.busy || busy
-		d.exhausted(now, p, flow)
-		return
-	}
-	if room := d.noRoom(now, p, flow, r, best); room != nil {
-		d.refuseFull(now, p, flow, r, room)
-		return
-	}
-	d.triedAgain(p.Key)
-	if len(flow.attempts) == 0 {
-		d.retries.firstTry()
-	}
-	best.sentOpening(now)
-	flow.attempts = append(flow.attempts, attempt{companion: best.status.Companion, sentAt: now})
-	d.out = append(d.out, Action{
-		Kind: Forward, Reason: passthrough.ReasonChosen, To: best.status.Companion, Packet: p,
-		Status: best.status, Age: now.Sub(best.lastSeen),
-	})
-}
-
-// exhausted handles an opening packet that no further companion can admit.
-func (d *Dispatcher) exhausted(now time.Time, p *passthrough.Packet, flow *cachedFlow) {
-	if len(flow.attempts) == 0 && !flow.busy {
-		d.remove(p.Key, flow)
-		if now.Sub(d.started) < startGrace {
-			d.wait(now, p, passthrough.ReasonStarting)
-			return
-		}
-		d.stopWaiting(p.Key)
-		d.reset(p, passthrough.ReasonNoCandidate)
-		return
-	}
-	if d.repeatOutstanding(now, p, flow) {
-		return
-	}
-	busy := flow.busy && p.Ack < callerCopies
-	d.remove(p.Key, flow)
-	if busy {
-		// There may be room soon, and the caller still waits.
-		d.wait(now, p, passthrough.ReasonBusy)
-		return
-	}
-	d.stopWaiting(p.Key)
-	d.reset(p, passthrough.ReasonAllRefused)
-}
-
-// repeatOutstanding sends an opening packet to a companion that it was sent to and that
-// hasn't refused it, and may have admitted the flow. It reports whether there is one.
-func (d *Dispatcher) repeatOutstanding(now time.Time, p *passthrough.Packet, flow *cachedFlow) bool {
-	for i := range flow.attempts {
-		if !flow.attempts[i].refused {
-			flow.attempts[i].sentAt, flow.attempts[i].repeated = now, true
-			d.forward(now, p, flow.attempts[i].companion, passthrough.ReasonAlreadyTried)
-			return true
-		}
-	}
-	return false
-}
-
 // laterPacket decides about a packet of a flow that should be open.
 func (d *Dispatcher) laterPacket(now time.Time, p *passthrough.Packet) {
 	flow, known := d.flows[p.Key]
@@ -410,10 +333,10 @@
 		return d.out
 	}
 	if reason == passthrough.ReasonBusy && !d.retries.take() {
-		d.exhausted(now, p, flow)
+		d.applyOpening(now, p, flow, d.judgeExhausted(now, p, flow, true))
 		return d.out
 	}
-	d.tryNext(now, p, flow, r)
+	d.applyOpening(now, p, flow, d.judgeNext(now, p, flow, r))
 	return d.out
 }
 
@@ -493,6 +416,7 @@
 func (d *Dispatcher) Continue(now time.Time) []Action {
 	d.out = d.out[:0]
 	d.requestStatuses(now)
+	d.updatePlans(now)
 	d.retryWaiting(now)
 	d.retryLookups(now)
 	d.continueChecks(now)
--- a/passthrough/dispatch/full.go
+++ b/passthrough/dispatch/full.go
@@ -34,7 +34,7 @@
 	if r.Objective <= 0 || best.service.run == 0 || d.paused(now) {
 		return nil
 	}
-	request := capacity.Request{Objective: r.Objective, Timeout: r.Timeout, Elapsed: d.elapsed(now, p), Urgent: passthrough.Urgent(r)}
+	request := d.requestOf(now, p, r)
 	var room capacity.Room
 	d.addRoom(now, &room, request, best)
 	if !room.None() {
@@ -64,6 +64,11 @@
 	return &figures
 }
 
+// requestOf returns what the decision about an opening packet's request depends on.
+func (d *Dispatcher) requestOf(now time.Time, p *passthrough.Packet, r *route.Route) capacity.Request {
+	return capacity.Request{Objective: r.Objective, Timeout: r.Timeout, Elapsed: d.elapsed(now, p), Urgent: passthrough.Urgent(r)}
+}
+
 // addRoom counts a companion that a request may go to. Its last load doesn't count if it
 // is too old, or if this entry instance has received reports for too short a time.
 func (d *Dispatcher) addRoom(now time.Time, room *capacity.Room, request capacity.Request, c *companion) {
@@ -81,23 +86,17 @@
 	return !d.lastSweepCall.IsZero() && now.Sub(d.lastSweepCall) > pauseLimit
 }
 
-// refuseFull handles an opening packet that no backend server can start in time. It waits
-// for a short time if there may be room yet.
-func (d *Dispatcher) refuseFull(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route, room *capacity.Room) {
-	if d.repeatOutstanding(now, p, flow) {
-		return
+// judgeFull decides about an opening packet that no backend server can start in time. It
+// waits for a short time if there may be room yet.
+func (d *Dispatcher) judgeFull(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route, room *capacity.Room) verdict {
+	v, outstanding := flow.judgeOutstanding()
+	if outstanding {
+		return v
 	}
-	d.remove(p.Key, flow)
-	first := len(d.out)
 	if d.keepForRoom(now, p, r, room) {
-		d.wait(now, p, passthrough.ReasonFull)
-	} else {
-		d.stopWaiting(p.Key)
-		d.reset(p, passthrough.ReasonFull)
-	}
-	for i := first; i < len(d.out); i++ {
-		d.out[i].Room = room
+		return verdict{kind: Wait, reason: passthrough.ReasonFull, ended: true, room: room}
 	}
+	return verdict{kind: Reset, reason: passthrough.ReasonFull, ended: true, room: room}
 }
 
 // keepForRoom reports whether the packet is kept until a backend server may have room.
@@ -114,7 +113,11 @@
 
 // Capacity returns the state of each service and data centre, by the reports that are
 // current. The result is valid until the next call.
-func (d *Dispatcher) Capacity(now time.Time) []capacity.Site {
+func (d *Dispatcher) Capacity(now time.Time) []capacity.Site { return d.capacitySites(now, true) }
+
+// capacitySites returns the state with or without the flows that were sent since the
+// reports. Most of these have been answered, so that the state without them is the mean.
+func (d *Dispatcher) capacitySites(now time.Time, withUnreported bool) []capacity.Site {
 	d.sites = d.sites[:0]
 	for service, state := range d.byService {
 		if service == "" {
@@ -131,7 +134,11 @@
 				site.Silent++
 				continue
 			}
-			site.Add(c.server(state.run), c.unreported.total(), now.Sub(c.loadAt))
+			extra := 0
+			if withUnreported {
+				extra = c.unreported.total()
+			}
+			site.Add(c.server(state.run), extra, now.Sub(c.loadAt))
 		}
 	}
 	slices.SortFunc(d.sites, func(a, b capacity.Site) int {
--- a/passthrough/dispatch/lookup.go
+++ b/passthrough/dispatch/lookup.go
@@ -331,9 +331,9 @@
 		l.setScope(scopeFirst)
 	}
 	asked := slices.DeleteFunc(d.possibleHolders(key, l.scope), func(c *companion) bool { return l.notHeldBy[c.status.Companion] })
-	d.planned = d.planned[:0]
+	d.lookupMessages = d.lookupMessages[:0]
 	asked = d.planRelays(now, key, l, asked)
-	relays := len(d.planned)
+	relays := len(d.lookupMessages)
 	timeout := queryTimeout
 	if l.scope == scopeAll && len(asked) > directQueries {
 		timeout = surveyLimit
@@ -348,14 +348,14 @@
 		timeout = surveyLimit << min(l.repeats, maxRelayBackoff)
 	}
 	l.retryAt = now.Add(timeout)
-	l.idle = len(d.planned) == 0
+	l.idle = len(d.lookupMessages) == 0
 	if l.idle {
 		return true
 	}
 	if relays > 0 {
 		d.countRelays(now, l)
 	}
-	for _, a := range d.planned {
+	for _, a := range d.lookupMessages {
 		d.sendLookupMessage(now, l, a)
 	}
 	if l.sentAt.IsZero() {
@@ -381,7 +381,7 @@
 
 func (d *Dispatcher) planQueries(key core.FlowKey, companions []*companion) {
 	for _, c := range companions {
-		d.planned = append(d.planned, Action{Kind: Query, Reason: passthrough.ReasonUnknownFlow, To: c.status.Companion, Packet: &passthrough.Packet{Key: key}})
+		d.lookupMessages = append(d.lookupMessages, Action{Kind: Query, Reason: passthrough.ReasonUnknownFlow, To: c.status.Companion, Packet: &passthrough.Packet{Key: key}})
 	}
 }
 
@@ -389,8 +389,8 @@
 // their bytes. If not, retryLookups sends them in their turn.
 func (d *Dispatcher) takeMessages(key core.FlowKey, l *flowLookup) bool {
 	total := 0
-	for i := range d.planned {
-		total += messageLen(&d.planned[i])
+	for i := range d.lookupMessages {
+		total += messageLen(&d.lookupMessages[i])
 	}
 	if d.takeBytes(total) {
 		return true
@@ -453,10 +453,10 @@
 	if flow.owner.IsValid() || flow.lookup == nil || flow.lookup.packet == nil {
 		return
 	}
-	d.planned = append(d.planned[:0], Action{Kind: Lookup, Reason: passthrough.ReasonUnknownFlow, To: at, Packet: flow.lookup.packet})
+	d.lookupMessages = append(d.lookupMessages[:0], Action{Kind: Lookup, Reason: passthrough.ReasonUnknownFlow, To: at, Packet: flow.lookup.packet})
 	if d.takeMessages(flow.lookup.packet.Key, flow.lookup) {
 		flow.lookup.sentTo = append(flow.lookup.sentTo, at)
-		d.out = append(d.out, d.planned...)
+		d.out = append(d.out, d.lookupMessages...)
 	}
 }
 
--- a/passthrough/dispatch/relay.go
+++ b/passthrough/dispatch/relay.go
@@ -87,7 +87,7 @@
 	room := min(max((maxMessage-relayLen-len(l.packet.Data))/addressLen, minRelayed), maxSurveyed)
 	for _, group := range groupCompanions(relayed, l.scope == scopeAll) {
 		for part := range slices.Chunk(group, room) {
-			d.planned = append(d.planned, Action{
+			d.lookupMessages = append(d.lookupMessages, Action{
 				Kind: Relay, Reason: passthrough.ReasonUnknownFlow, To: d.conductorFor(now, l, part), Packet: l.packet,
 				Survey: passthrough.Survey{Key: key, Ask: addressesOf(part)},
 			})
--- a/passthrough/dispatch/survey.go
+++ b/passthrough/dispatch/survey.go
@@ -34,7 +34,7 @@
 				continue
 			}
 			to := part[conductor].status.Companion
-			d.planned = append(d.planned, Action{
+			d.lookupMessages = append(d.lookupMessages, Action{
 				Kind: Survey, Reason: passthrough.ReasonUnknownFlow, To: to,
 				Survey: passthrough.Survey{Number: l.number, Key: key, Ask: addressesOf(part)},
 			})
