Estimate turns by counting instead of replaying the selection

Cause: Offer and Expire repeated the selection for each waiting request, once per opening packet and again per refusal.

Change: a request's turn is estimated from the number of requests that go before it, by classes and groups, in passes over the queue without simulation. An offer that is refused doesn't join and allocates nothing. At most two late requests per slot are accepted. Expire estimates each turn once and corrects it by the number removed before; the gate calls it from Continue only. Requests that had to leave for others are returned by Displaced.

--- a/passthrough/gate/queue.go
+++ b/passthrough/gate/queue.go
@@ -108,7 +108,7 @@
 		g.queued[p.Key] = &queuedPacket{packet: p.Clone(), entry: entry, version: version}
 		g.out = append(g.out, Action{Kind: Queue, Reason: passthrough.ReasonQueued, To: entry, Packet: p, Order: order})
 		g.note(passthrough.NoteAdmitted, passthrough.ReasonQueued, p.Key, entry)
-		g.expireQueue(now)
+		g.refuseQueued(passthrough.ReasonBusy, g.queue.Displaced(now))
 	default:
 		g.out = append(g.out, Action{Kind: Refuse, Reason: passthrough.ReasonBusy, To: entry, Packet: p, Order: order})
 	}
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -10,26 +10,29 @@
 	"zinniapulley.dev/core"
 )
 
-// maxWaiting is the most requests that wait. It bounds the time that planning takes; at
+// maxWaiting is the most requests that wait. It bounds the time that an estimate takes; at
 // the usual run times the expected wait is a tighter bound.
 const maxWaiting = 64
 
-// entry is a waiting request.
+// entry is a waiting request, or one that is offered.
 type entry struct {
 	Request
 	// joined is when it joined the queue, and number orders entries that joined at the
 	// same time.
-	joined                time.Time
-	number                uint64
-	route, origin, caller *group
+	joined time.Time
+	number uint64
+	// arrived is when its packet arrived, as time since the queue's epoch.
+	arrived time.Duration
+	// groups are its route, its origin and its caller, nil where none is known yet, and
+	// virtual their virtual times as of the last classification.
+	groups  [kindCount]*group
+	virtual [kindCount]float64
 	// slack is how long it may wait and be in time, and left how long it may wait at all,
 	// as of the last classification. late is set if it has no slack.
 	slack, left time.Duration
 	late        bool
-	// turn is the planned wait until its start.
-	turn time.Duration
-	// pushedOut is set if the queue has no room for it.
-	pushedOut bool
+	// ahead is the last estimate of what goes before it.
+	ahead ahead
 }
 
 // Queue holds the requests that wait at one backend server. It must be used by one
@@ -37,14 +40,23 @@
 type Queue struct {
 	weights map[string]float64
 	waiting []*entry
-	usage   usage
+	// displaced are those that had to leave for others that joined.
+	displaced []*entry
+	usage     usage
 	// pressure is kept while nothing waits.
 	pressure pressure
 	number   uint64
-	saved    []group
-	times    [3]float64
-	planned  []*entry
-	out      []Outcome
+	// epoch is when the first request was offered. Times since then are compared with less
+	// effort than a time.Time.
+	epoch time.Time
+	// inTime and late count the waiting requests as of the last classification.
+	inTime, late int
+	ranking      uint64
+	// offered, peers and planned are used within one call, and kept to save allocations.
+	offered entry
+	peers   []*entry
+	planned []*entry
+	out     []Outcome
 }
 
 // CheckWeights reports an error for a weight that is out of range or has no route.
@@ -73,74 +85,113 @@
 // Len returns how many requests wait.
 func (q *Queue) Len() int { return len(q.waiting) }
 
-// Offer decides about a request that isn't in the queue. After a Wait others may have to
-// be refused, which Expire returns.
+// Offer decides about a request that isn't in the queue. After a Wait others may have been
+// displaced, which Displaced returns.
 func (q *Queue) Offer(now time.Time, r Request, room Room) (Verdict, Reason) {
 	if len(q.waiting) == 0 && room.Free() {
 		q.pressure.started(r.Priority)
 		return Start, ReasonPlaceFree
 	}
-	if room.limit(now, &r) < 0 {
+	e := &q.offered
+	if q.epoch.IsZero() {
+		q.epoch = now
+	}
+	*e = entry{Request: r, joined: now, number: q.number + 1, arrived: r.Arrived.Sub(q.epoch)}
+	e.groups = [kindCount]*group{
+		q.usage.routes.groups[r.Route], q.usage.origins.groups[r.Origin], q.usage.callers.groups[r.Key.Caller.Addr()],
+	}
+	q.classify(e, now.Sub(q.epoch), room.needed(), room)
+	if e.left < 0 {
 		return Refuse, ReasonAbandoned
 	}
-	e := q.join(now, r)
-	q.plan(now, room)
-	reason := q.refusal(e, room)
-	if reason == ReasonNone && q.waitsTooLong(e) {
+	q.prepare(now, room)
+	e.ahead = q.position(e)
+	turn := q.turn(e, e.ahead, room)
+	reason := e.refusal(turn, room)
+	if reason == ReasonNone && q.waitsTooLong(e, turn) {
 		reason = ReasonNoChance
 	}
-	last := q.excess(room)
-	if reason == ReasonNone && last != nil {
-		last.pushedOut = true
-		reason = q.refusal(e, room)
-	}
 	if reason != ReasonNone {
-		q.remove(e)
 		return Refuse, reason
 	}
+	last := q.excess(e, room)
+	if last == e {
+		return Refuse, ReasonFull
+	}
+	q.join(*e)
+	if last != nil {
+		q.remove(last)
+		q.displaced = append(q.displaced, last)
+	}
 	return Wait, ReasonNoPlace
 }
 
-// waitsTooLong reports whether a planned request that can be in time would wait too long
-// to join the queue. It joins in any case if others of a lower priority wait.
-func (q *Queue) waitsTooLong(e *entry) bool {
-	if e.late || e.Objective <= 0 || e.turn <= time.Duration(maxWaitShare*float64(e.Objective)) {
+// waitsTooLong reports whether a request that can be in time would wait too long to join
+// the queue. It joins in any case if others of a lower priority wait.
+func (q *Queue) waitsTooLong(e *entry, turn time.Duration) bool {
+	if e.late || e.Objective <= 0 || turn <= time.Duration(maxWaitShare*float64(e.Objective)) {
 		return false
 	}
 	return !slices.ContainsFunc(q.waiting, func(other *entry) bool { return !other.late && other.Priority > e.Priority })
 }
 
-// excess returns the request for which a planned queue has no room, the last one, nil if
-// there is room for all. While the interval between answers isn't known, the number of
-// requests with an objective is what bounds their wait.
-func (q *Queue) excess(room Room) *entry {
-	if len(q.waiting) > maxWaiting {
-		return q.planned[len(q.planned)-1]
-	}
-	if room.Interval > 0 {
+// excess returns the request for which there is no room if e joins, nil if there is room
+// for all. While the interval between answers isn't known, the number of requests with an
+// objective is what bounds their wait.
+func (q *Queue) excess(e *entry, room Room) *entry {
+	if len(q.waiting) >= maxWaiting {
+		return q.last(e, func(*entry) bool { return true })
+	}
+	if e.late && q.late >= lateQueue*room.Slots {
+		return q.last(e, func(other *entry) bool { return other.late })
+	}
+	if room.Interval > 0 || e.Objective <= 0 {
 		return nil
 	}
-	bound := max(unmeasuredQueue*room.Slots-room.Taken, 0)
-	var last *entry
-	for _, e := range q.planned {
-		if e.Objective > 0 {
-			bound--
-			last = e
+	limited := 0
+	for _, other := range q.waiting {
+		if other.Objective > 0 {
+			limited++
 		}
 	}
-	if bound >= 0 {
+	if limited < unmeasuredQueue*room.Slots-room.Taken {
 		return nil
 	}
+	return q.last(e, func(other *entry) bool { return other.Objective > 0 })
+}
+
+// last returns the last in the order of e and of those that wait and are included. Within
+// a class it uses the last estimates, since each waiting request's own would take as long
+// as that of e.
+func (q *Queue) last(e *entry, included func(*entry) bool) *entry {
+	last := e
+	for _, other := range q.waiting {
+		if included(other) && cmp.Or(compareClass(other, last), cmp.Compare(other.ahead.all, last.ahead.all), compare(other, last)) > 0 {
+			last = other
+		}
+	}
 	return last
 }
 
+// Displaced removes and returns the requests that had to leave for others that joined.
+// The result is valid until the next call.
+func (q *Queue) Displaced(now time.Time) []Outcome {
+	q.out = q.out[:0]
+	for i, e := range q.displaced {
+		q.out = append(q.out, e.outcome(now, ReasonFull))
+		q.displaced[i] = nil
+	}
+	q.displaced = q.displaced[:0]
+	return q.out
+}
+
 // Next removes and returns the request to start next. It reports false if no place is
 // free or nothing waits.
 func (q *Queue) Next(now time.Time, room Room) (Outcome, bool) {
 	if len(q.waiting) == 0 || !room.Free() {
 		return Outcome{}, false
 	}
-	q.classify(now, room)
+	q.prepare(now, room)
 	e, reason := q.pick(q.waiting)
 	if e == nil {
 		return Outcome{}, false
@@ -152,48 +203,43 @@
 	return e.outcome(now, reason), true
 }
 
-// Expire removes and returns the requests that are to be refused now. The result is valid
-// until the next call.
+// Expire removes and returns the requests that are to be refused now, with those that were
+// displaced. The result is valid until the next call.
 func (q *Queue) Expire(now time.Time, room Room) []Outcome {
-	q.out = q.out[:0]
+	q.Displaced(now)
 	if len(q.waiting) == 0 {
 		return q.out
 	}
-	q.plan(now, room)
-	// A refusal brings those behind it nearer to their turn, so only the first one without a
-	// chance is removed before the next plan.
-	for {
-		e, reason := q.firstRefused(room)
-		if e == nil {
-			break
+	q.prepare(now, room)
+	q.planned = append(q.planned[:0], q.waiting...)
+	for _, e := range q.planned {
+		e.ahead = q.position(e)
+	}
+	slices.SortStableFunc(q.planned, func(a, b *entry) int { return cmp.Compare(a.ahead.all, b.ahead.all) })
+	// A refusal brings those behind it nearer to their turn.
+	var refused ahead
+	for _, e := range q.planned {
+		e.ahead.subtract(refused, e)
+		reason := e.refusal(q.turn(e, e.ahead, room), room)
+		if reason == ReasonNone {
+			continue
 		}
 		q.out = append(q.out, e.outcome(now, reason))
+		if e.left >= 0 {
+			refused.add(e)
+		}
 		q.remove(e)
-		q.plan(now, room)
 	}
 	q.resetIfEmpty()
 	return q.out
 }
 
-// firstRefused returns the first request of the plan that is to be refused, nil for none.
-func (q *Queue) firstRefused(room Room) (*entry, Reason) {
-	for _, e := range q.planned {
-		reason := q.refusal(e, room)
-		if reason != ReasonNone {
-			return e, reason
-		}
-	}
-	return nil, ReasonNone
-}
-
-// refusal returns why a planned request is to be refused, ReasonNone if it isn't.
-func (q *Queue) refusal(e *entry, room Room) Reason {
+// refusal returns why a request with that turn is to be refused, ReasonNone if it isn't.
+func (e *entry) refusal(turn time.Duration, room Room) Reason {
 	switch {
-	case e.pushedOut:
-		return ReasonFull
-	case e.left < 0 || e.turn > e.left:
+	case e.left < 0 || turn > e.left:
 		return ReasonAbandoned
-	case !e.late && e.Objective > 0 && e.turn > e.slack && e.slack > room.Handshake:
+	case !e.late && e.Objective > 0 && turn > e.slack && e.slack > room.Handshake:
 		// Another companion can be tried while there is time for another handshake.
 		return ReasonNoChance
 	default:
@@ -228,14 +274,14 @@
 func (q *Queue) Configure(change func(*Request)) {
 	for _, e := range q.waiting {
 		change(&e.Request)
-		e.route.leave()
-		e.route = q.usage.routes.join(e.Route, q.weight(e.Route))
+		e.groups[byRoute].leave()
+		e.groups[byRoute] = q.usage.routes.join(e.Route, q.weight(e.Route))
 	}
 }
 
 // Clear removes and returns all requests.
 func (q *Queue) Clear(now time.Time) []Outcome {
-	q.out = q.out[:0]
+	q.Displaced(now)
 	for _, e := range q.waiting {
 		q.out = append(q.out, e.outcome(now, ReasonNotAdmitted))
 	}
@@ -252,22 +298,21 @@
 	return weight
 }
 
-func (q *Queue) join(now time.Time, r Request) *entry {
-	q.number++
-	e := &entry{
-		Request: r, joined: now, number: q.number, route: q.usage.routes.join(r.Route, q.weight(r.Route)),
-		origin: q.usage.origins.join(r.Origin, 1), caller: q.usage.callers.join(r.Key.Caller.Addr(), 1),
-	}
-	q.waiting = append(q.waiting, e)
-	return e
+// join adds a request with its groups.
+func (q *Queue) join(e entry) {
+	q.number = e.number
+	e.groups = [kindCount]*group{
+		q.usage.routes.join(e.Route, q.weight(e.Route)), q.usage.origins.join(e.Origin, 1), q.usage.callers.join(e.Key.Caller.Addr(), 1),
+	}
+	q.waiting = append(q.waiting, &e)
 }
 
 func (q *Queue) remove(e *entry) {
 	i := slices.Index(q.waiting, e)
 	q.waiting = slices.Delete(q.waiting, i, i+1)
-	e.route.leave()
-	e.origin.leave()
-	e.caller.leave()
+	for _, g := range e.groups {
+		g.leave()
+	}
 }
 
 // resetIfEmpty forgets what the groups have got once nobody waits.
@@ -284,14 +329,6 @@
 	return Outcome{Request: e.Request, Reason: reason, Waited: now.Sub(e.joined)}
 }
 
-// classify finds out which requests are late.
-func (q *Queue) classify(now time.Time, room Room) {
-	for _, e := range q.waiting {
-		slack, limited := room.slack(now, &e.Request)
-		e.slack, e.late, e.left = slack, limited && slack < 0, room.limit(now, &e.Request)
-	}
-}
-
 // pick returns the request of those given that goes next, and why; nil for none.
 func (q *Queue) pick(waiting []*entry) (*entry, Reason) {
 	owed := q.owed(waiting)
@@ -300,7 +337,7 @@
 		if e.left < 0 || (owed != nil && !q.belongs(e, owed)) {
 			continue
 		}
-		if first == nil || q.compare(e, first) < 0 {
+		if first == nil || compare(e, first) < 0 {
 			first = e
 		}
 	}
@@ -330,11 +367,11 @@
 		if e.left < 0 {
 			continue
 		}
-		check(e.route)
+		check(e.groups[byRoute])
 		if e.late {
 			check(&q.usage.late)
 		} else {
-			check(e.origin)
+			check(e.groups[byOrigin])
 		}
 	}
 	return owed
@@ -342,35 +379,5 @@
 
 // belongs reports whether the request is of the group.
 func (q *Queue) belongs(e *entry, g *group) bool {
-	return e.route == g || (e.late && g == &q.usage.late) || (!e.late && e.origin == g)
-}
-
-// compare orders two requests: those that can be in time first, then by priority, by
-// what their route, their origin and their caller have got, and by the slack.
-func (q *Queue) compare(a, b *entry) int {
-	if a.late != b.late {
-		if a.late {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Or(
-		cmp.Compare(a.Priority, b.Priority),
-		cmp.Compare(q.usage.routes.virtual(a.route), q.usage.routes.virtual(b.route)),
-		cmp.Compare(q.usage.origins.virtual(a.origin), q.usage.origins.virtual(b.origin)),
-		cmp.Compare(q.usage.callers.virtual(a.caller), q.usage.callers.virtual(b.caller)),
-		compareSlack(a, b),
-		cmp.Compare(a.number, b.number),
-	)
-}
-
-// compareSlack orders requests without an objective last.
-func compareSlack(a, b *entry) int {
-	if (a.Objective > 0) != (b.Objective > 0) {
-		if a.Objective > 0 {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Compare(a.slack, b.slack)
+	return e.groups[byRoute] == g || (e.late && g == &q.usage.late) || (!e.late && e.groups[byOrigin] == g)
 }
--- a/waitqueue/request.go
+++ b/waitqueue/request.go
@@ -24,6 +24,9 @@
 	// the interval between answers isn't known. After an outage all callers reached the
 	// first backend server within milliseconds.
 	unmeasuredQueue = 2
+	// lateQueue is how many late requests per slot are accepted. They get little more than
+	// the floor, so that a longer queue of them adds work and no starts.
+	lateQueue = 2
 )
 
 // Request is a request whose opening packet waits, or may have to wait.
@@ -83,18 +86,12 @@
 // needed returns the time from the start of a request that suffices for its answer.
 func (r Room) needed() time.Duration { return r.Handshake + time.Duration(runMargin*float64(r.Run)) }
 
-// slack returns how long the request may still wait and be answered within its
-// objective, and whether it has one.
-func (r Room) slack(now time.Time, q *Request) (time.Duration, bool) {
-	return q.Objective - q.waited(now) - r.needed(), q.Objective > 0
-}
-
-// limit returns how long the request may still wait at all: after that its caller
-// abandons the attempt, or doesn't get the answer before the route's timeout.
-func (r Room) limit(now time.Time, q *Request) time.Duration {
-	left := attemptLimit - q.waited(now) - r.Handshake
-	if q.Timeout > 0 {
-		left = min(left, q.Timeout-q.waited(now)-r.Handshake-r.Run)
+// limit returns how long a request whose caller has waited may still wait at all: after
+// that its caller abandons the attempt, or doesn't get the answer before the route's timeout.
+func (r Room) limit(waited, timeout time.Duration) time.Duration {
+	left := attemptLimit - waited - r.Handshake
+	if timeout > 0 {
+		left = min(left, timeout-waited-r.Handshake-r.Run)
 	}
 	return left
 }
@@ -133,7 +130,7 @@
 	ReasonNoChance
 	// ReasonAbandoned: its caller would abandon the attempt before its turn.
 	ReasonAbandoned
-	// ReasonFull: the queue is full, and it would go last.
+	// ReasonFull: the queue is full, or holds enough late requests, and it would go last.
 	ReasonFull
 	// ReasonNotAdmitted: the backend server takes no such flow any more.
 	ReasonNotAdmitted
--- a/waitqueue/shares.go
+++ b/waitqueue/shares.go
@@ -25,6 +25,27 @@
 	waiting int
 	// mark is the number of the last start that its credit was updated for.
 	mark uint64
+	// rank counts its requests while an estimate goes through the queue; ranking is the
+	// number of the pass that it is valid in.
+	rank    int
+	ranking uint64
+}
+
+// cost returns what a start adds to the group's virtual time.
+func (g *group) cost() float64 {
+	if g == nil {
+		return 1
+	}
+	return 1 / g.weight
+}
+
+// nextRank returns how often it has been called in the pass of that number.
+func (g *group) nextRank(ranking uint64) int {
+	if g.ranking != ranking {
+		g.rank, g.ranking = 0, ranking
+	}
+	g.rank++
+	return g.rank - 1
 }
 
 // shares keeps the groups of one kind. A group that asks for less than its share gets
@@ -62,13 +83,18 @@
 	}
 }
 
-// virtual returns the group's virtual time.
-func (s *shares[K]) virtual(g *group) float64 { return max(g.tag, s.time) }
+// virtual returns the group's virtual time. nil stands for a group that isn't known.
+func (s *shares[K]) virtual(g *group) float64 {
+	if g == nil {
+		return s.time
+	}
+	return max(g.tag, s.time)
+}
 
 // served records a start of the group.
 func (s *shares[K]) served(g *group) {
 	s.time = s.virtual(g)
-	g.tag = s.time + 1/g.weight
+	g.tag = s.time + g.cost()
 }
 
 func (s *shares[K]) reset() {
@@ -94,22 +120,22 @@
 
 // served records the start of an entry. others are the entries that wait on.
 func (u *usage) served(e *entry, others []*entry) {
-	u.routes.served(e.route)
-	u.origins.served(e.origin)
-	u.callers.served(e.caller)
+	u.routes.served(e.groups[byRoute])
+	u.origins.served(e.groups[byOrigin])
+	u.callers.served(e.groups[byCaller])
 	u.starts++
-	for _, g := range [...]*group{e.route, e.origin} {
+	for _, g := range e.groups[:byCaller] {
 		g.credit, g.mark = max(g.credit-1, 0), u.starts
 	}
 	if e.late {
 		u.late.credit, u.late.mark = max(u.late.credit-1, 0), u.starts
 	}
 	for _, other := range others {
-		u.earn(other.route)
+		u.earn(other.groups[byRoute])
 		if other.late {
 			u.earn(&u.late)
 		} else {
-			u.earn(other.origin)
+			u.earn(other.groups[byOrigin])
 		}
 	}
 }
