Test estimated turns, and let earned floors shorten them

Cause: no test compared the estimated turns with the real order, and a late request that had almost earned its floor was expected to wait behind all that could be in time, and refused.

Change: a late request's turn is that of the floor while others can be in time. The routes, origins and callers of the benchmarks' requests no longer depend on one another.

--- a/waitqueue/load_test.go
+++ b/waitqueue/load_test.go
@@ -26,9 +26,9 @@
 // loadRequest returns the n-th of a stream of requests of three routes, twelve origins
 // and 200 callers.
 func loadRequest(n int, late bool) waitqueue.Request {
-	r := request(n % loadCallers)
+	r := request(7 * n % loadCallers)
 	r.Key.Caller = netip.AddrPortFrom(r.Key.Caller.Addr(), uint16(n))
-	r.Origin = origin(n % loadOrigins)
+	r.Origin = origin(n / 3 % loadOrigins)
 	r.Route = [...]string{"reads", "writes", "downloads"}[n%3]
 	if r.Route == "writes" {
 		r.Priority = urgent
@@ -130,3 +130,36 @@
 		}
 	})
 }
+
+// At a companion of an overload day 1,000 opening packets a second, half of them late,
+// met 90 starts. The cost of an offer includes that of the starts and of Expire.
+func BenchmarkOverload(b *testing.B) {
+	const (
+		offers = time.Second / 1000
+		starts = time.Second / 90
+		tick   = 20 * time.Millisecond
+	)
+	q := waitqueue.New(nil)
+	room := waitqueue.Room{Slots: 4, Interval: starts, Run: 4 * starts, Handshake: 6 * time.Millisecond}
+	room.Taken = room.Places()
+	now, n, waiting := start, 0, 0
+	b.ReportAllocs()
+	for b.Loop() {
+		n++
+		now = now.Add(offers)
+		r := loadRequest(n, n%2 == 1)
+		r.Arrived = now
+		q.Offer(now, r, room)
+		q.Displaced(now)
+		if now.Sub(start)%starts < offers {
+			room.Taken--
+			q.Next(now, room)
+			room.Taken++
+		}
+		if now.Sub(start)%tick < offers {
+			q.Expire(now, room)
+		}
+		waiting += q.Len()
+	}
+	b.ReportMetric(float64(waiting)/float64(n), "waiting")
+}
--- a/waitqueue/position.go
+++ b/waitqueue/position.go
@@ -157,12 +157,12 @@
 
 // turn estimates the wait until the start of a request with so many before it.
 func (q *Queue) turn(e *entry, a ahead, room Room) time.Duration {
+	if e.late && q.inTime > 0 {
+		// Further ones that can be in time will come, and leave only the floor.
+		return q.usage.late.floorTurn(a.late, room)
+	}
 	turn := time.Duration(float64(room.turn(a.all)) / (1 - q.pressure.above(e.Priority)))
 	if e.late {
-		if q.inTime > 0 {
-			// Further ones that can be in time will come, and leave only the floor.
-			turn = max(turn, q.usage.late.floorTurn(a.late, room))
-		}
 		return turn
 	}
 	turn = min(turn, e.groups[byRoute].floorTurn(a.route, room))
--- a/waitqueue/queue_test.go
+++ b/waitqueue/queue_test.go
@@ -519,3 +519,138 @@
 		q.Remove(r.Key)
 	}
 }
+
+// After an outage late requests filled the queue, and each opening packet was compared
+// with all of them, although they get little more than the floor.
+func TestLateRequestsThatWaitAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := waitqueue.New(nil)
+	late := func(n int) waitqueue.Request {
+		r := request(n)
+		r.Elapsed = 600 * time.Millisecond
+		return r
+	}
+	room := taken()
+	// Nothing else waits, so that their turns would be soon enough for dozens.
+	for n := range 8 {
+		offer(t, q, late(n))
+	}
+	verdict, reason := q.Offer(start, late(8), room)
+	g.Expect(verdict).To(gomega.Equal(waitqueue.Refuse))
+	g.Expect(reason).To(gomega.Equal(waitqueue.ReasonFull))
+	g.Expect(q.Displaced(start)).To(gomega.BeEmpty())
+	// A late request of a higher priority displaces one of the others, one in time doesn't.
+	first := late(9)
+	first.Priority = urgent
+	offer(t, q, first)
+	displaced := q.Displaced(start)
+	g.Expect(displaced).To(gomega.HaveLen(1))
+	g.Expect(displaced[0].Request.Priority).To(gomega.Equal(ordinary))
+	g.Expect(displaced[0].Reason).To(gomega.Equal(waitqueue.ReasonFull))
+	offer(t, q, request(10))
+	g.Expect(q.Displaced(start)).To(gomega.BeEmpty())
+	g.Expect(q.Len()).To(gomega.Equal(9))
+}
+
+// A full queue returned the request that would go last, but it stayed in the queue until
+// the next Expire and could still be started.
+func TestFullQueueReturnsTheLastInTheOrder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := waitqueue.New(nil)
+	unlimited := func(n, priority int) waitqueue.Request {
+		r := request(n)
+		r.Objective, r.Priority = 0, priority
+		return r
+	}
+	room := taken()
+	room.Interval = time.Millisecond
+	for n := range 64 {
+		verdict, _ := q.Offer(start, unlimited(n, ordinary), room)
+		g.Expect(verdict).To(gomega.Equal(waitqueue.Wait))
+	}
+	verdict, reason := q.Offer(start, unlimited(64, ordinary), room)
+	g.Expect(verdict).To(gomega.Equal(waitqueue.Refuse))
+	g.Expect(reason).To(gomega.Equal(waitqueue.ReasonFull))
+	for n := 65; n < 70; n++ {
+		verdict, _ = q.Offer(start, unlimited(n, urgent), room)
+		g.Expect(verdict).To(gomega.Equal(waitqueue.Wait))
+		g.Expect(q.Len()).To(gomega.Equal(64))
+	}
+	displaced := q.Expire(start, room)
+	g.Expect(displaced).To(gomega.HaveLen(5))
+	for i, o := range displaced {
+		g.Expect(o.Request.Key).To(gomega.Equal(request(63 - i).Key))
+		g.Expect(o.Reason).To(gomega.Equal(waitqueue.ReasonFull))
+	}
+	g.Expect(q.Displaced(start)).To(gomega.BeEmpty())
+}
+
+// A full queue refused a new caller's request because it came last, although most that
+// waited were another caller's.
+func TestFullQueueReturnsTheBusyCallersRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := waitqueue.New(nil)
+	room := taken()
+	room.Interval = time.Millisecond
+	offerOf := func(caller, n int) waitqueue.Verdict {
+		r := request(caller)
+		r.Key.Caller = netip.AddrPortFrom(r.Key.Caller.Addr(), uint16(n))
+		r.Objective = 0
+		verdict, _ := q.Offer(start, r, room)
+		return verdict
+	}
+	for n := range 64 {
+		g.Expect(offerOf(1, n)).To(gomega.Equal(waitqueue.Wait))
+	}
+	g.Expect(offerOf(2, 0)).To(gomega.Equal(waitqueue.Wait))
+	displaced := q.Displaced(start)
+	g.Expect(displaced).To(gomega.HaveLen(1))
+	g.Expect(displaced[0].Request.Key.Caller).To(gomega.Equal(netip.AddrPortFrom(request(1).Key.Caller.Addr(), 63)))
+}
+
+// Refused offers joined the queue first. At a companion that refuses a thousand a second
+// the allocations were a part of its processor time.
+func TestRefusedOfferAllocatesNothing(t *testing.T) {
+	q := waitqueue.New(nil)
+	for n := range 10 {
+		q.Offer(start, request(n), taken())
+	}
+	r, crowded := request(100), taken()
+	crowded.Taken = 30
+	allocations := testing.AllocsPerRun(100, func() {
+		if verdict, _ := q.Offer(start, r, crowded); verdict != waitqueue.Refuse {
+			t.Error("not refused")
+		}
+	})
+	gomega.NewWithT(t).Expect(allocations).To(gomega.BeZero())
+}
+
+// A request whose route had almost earned its floor was refused by the number of urgent
+// ones before it, although it would have gone next.
+func TestEarnedFloorCountsForTheTurn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := waitqueue.New(nil)
+	low := request(100)
+	low.Origin = origin(2)
+	offer(t, q, low)
+	for n := range 8 {
+		r := request(n)
+		r.Route, r.Priority, r.Origin = "writes", urgent, origin(1)
+		offer(t, q, r)
+	}
+	for range 19 {
+		o := next(t, q)
+		g.Expect(o.Request.Route).To(gomega.Equal("writes"))
+		offer(t, q, o.Request)
+	}
+	slow := taken()
+	slow.Interval *= 4
+	for _, o := range q.Expire(start, slow) {
+		g.Expect(o.Request.Key).NotTo(gomega.Equal(low.Key))
+	}
+	o := next(t, q)
+	g.Expect(o.Request.Route).To(gomega.Equal("writes"))
+	o = next(t, q)
+	g.Expect(o.Request.Key).To(gomega.Equal(low.Key))
+	g.Expect(o.Reason).To(gomega.Equal(waitqueue.ReasonFloor))
+}
