Shorten the expected wait of requests that are overtaken

Change: the bound is a fifth of the objective while starts go to higher priorities, and half while starts go to lower ones only; otherwise a third as before. overload_test.go also runs with 12 entry instances and 200 callers, and allows 0.02 instead of 0.05 of late refusals with one.

--- a/passthrough/overload_test.go
+++ b/passthrough/overload_test.go
@@ -45,6 +45,9 @@
 	running int
 	queue   []core.FlowKey
 	callers map[core.FlowKey]*overloadCaller
+	// origins is the number of entry instances and addresses that of the callers' addresses,
+	// zero for one entry instance and an address for each request.
+	origins, addresses int
 }
 
 // overloadCaller is one request.
@@ -124,6 +127,12 @@
 func (l *overload) call(service netip.AddrPort, elapsed time.Duration) *overloadCaller {
 	l.number++
 	key := core.FlowKey{Caller: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(l.number >> 8), byte(l.number)}), 2000), Service: service}
+	origin := entryAt
+	if l.origins > 0 {
+		address := l.random.IntN(l.addresses)
+		key.Caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, 0, byte(address)}), uint16(2000+l.number))
+		origin = companionAt(200 + address%l.origins)
+	}
 	c := &overloadCaller{began: l.now.Add(-elapsed), run: l.drawRun()}
 	l.callers[key] = c
 	for number, delay := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
@@ -134,7 +143,7 @@
 			if c.opened || c.refused {
 				return
 			}
-			l.handle(l.gate.FromEntry(l.now, entryAt, false, 1, &passthrough.Packet{Key: key, Flags: core.TCPSyn, Ack: uint32(number)}))
+			l.handle(l.gate.FromEntry(l.now, origin, false, 1, &passthrough.Packet{Key: key, Flags: core.TCPSyn, Ack: uint32(number)}))
 		})
 	}
 	return c
@@ -250,13 +259,26 @@
 // urgent requests 0.985, and what can't be served must be refused within 100 ms, but for a
 // few that slower answers than expected have overtaken.
 func TestOverloadIsRefusedAtOnceAndTheRestIsInTime(t *testing.T) {
+	checkOverload(t, 20, 0, 0, 0.02)
+}
+
+// With several entry instances and with callers that send more than one request, those
+// that have got less go first. A sixth of the refusals were of overtaken requests, and
+// came after more than 100 ms.
+func TestOverloadFromSeveralEntryInstancesIsRefusedAtOnce(t *testing.T) {
+	checkOverload(t, 60, 12, 200, 0.05)
+}
+
+// checkOverload runs an overload with each of the seeds. At most the part slow of the refusals may come later.
+func checkOverload(t *testing.T, seeds uint64, origins, addresses int, slow float64) {
+	t.Helper()
 	g := gomega.NewWithT(t)
 	good, goodUrgent, urgent, late, urgentRefused, refusals, slowRefusals := 0, 0, 0, 0, 0, 0, 0
 	const length = 8 * time.Second
-	const seeds = 20
 	sustained := loadSlots / meanRun().Seconds()
-	for seed := range uint64(seeds) {
+	for seed := range seeds {
 		l := newOverload(seed, 1)
+		l.origins, l.addresses = origins, addresses
 		l.runUntil(start)
 		ordinaryCalls := l.arrive(address, 1.0*sustained, start.Add(length))
 		urgentCalls := l.arrive(urgentAddress, 0.25*sustained, start.Add(length))
@@ -278,11 +300,11 @@
 			}
 		}
 	}
-	possible := sustained * length.Seconds() * seeds
+	possible := sustained * length.Seconds() * float64(seeds)
 	t.Logf("%d in time of %.0f sustained, %d of %d urgent ones, %d urgent ones refused, %d late, %d refused, %d of these after 100 ms",
 		good, possible, goodUrgent, urgent, urgentRefused, late, refusals, slowRefusals)
 	g.Expect(float64(good) / possible).To(gomega.BeNumerically(">=", 0.93))
 	g.Expect(float64(goodUrgent) / float64(urgent)).To(gomega.BeNumerically(">=", 0.985))
 	g.Expect(float64(urgentRefused) / float64(urgent)).To(gomega.BeNumerically("<=", 0.005))
-	g.Expect(float64(slowRefusals) / float64(refusals)).To(gomega.BeNumerically("<=", 0.05))
+	g.Expect(float64(slowRefusals) / float64(refusals)).To(gomega.BeNumerically("<=", slow))
 }
--- a/waitqueue/pressure.go
+++ b/waitqueue/pressure.go
@@ -39,3 +39,18 @@
 	}
 	return min(sum, 1-floorShare)
 }
+
+// waitShare returns the part of its objective that a request of the priority may be
+// expected to wait when it joins the queue.
+func (p *pressure) waitShare(priority int) float64 {
+	share := maxWaitShare
+	for other := range p.shares {
+		if other < priority {
+			return overtakenWaitShare
+		}
+		if other > priority {
+			share = urgentWaitShare
+		}
+	}
+	return share
+}
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -129,7 +129,7 @@
 // waitsTooLong reports whether a request that can be in time would wait too long to join
 // the queue. It joins in any case if others of a lower priority wait.
 func (q *Queue) waitsTooLong(e *entry, turn time.Duration) bool {
-	if e.late || e.Objective <= 0 || turn <= time.Duration(maxWaitShare*float64(e.Objective)) {
+	if e.late || e.Objective <= 0 || turn <= time.Duration(q.pressure.waitShare(e.Priority)*float64(e.Objective)) {
 		return false
 	}
 	return !slices.ContainsFunc(q.waiting, func(other *entry) bool { return !other.late && other.Priority > e.Priority })
--- a/waitqueue/queue_test.go
+++ b/waitqueue/queue_test.go
@@ -263,6 +263,34 @@
 	g.Expect(accepted(urgent)).To(gomega.BeNumerically("<=", 1))
 }
 
+// Ordinary requests joined with a long expected wait, were overtaken, and were refused
+// after more than 100 ms. Urgent ones were refused once few ordinary ones waited.
+func TestExpectedWaitIsShorterForRequestsThatAreOvertaken(t *testing.T) {
+	g := gomega.NewWithT(t)
+	accepted := func(priority int) int {
+		q := waitqueue.New(nil)
+		free := taken()
+		free.Taken = 0
+		for n := range 400 {
+			r := request(n)
+			r.Priority = []int{urgent, ordinary}[n%2]
+			q.Offer(start, r, free)
+		}
+		count := 0
+		for n := range 50 {
+			r := request(n)
+			r.Priority = priority
+			if verdict, _ := q.Offer(start, r, taken()); verdict == waitqueue.Wait {
+				count++
+			}
+		}
+		return count
+	}
+	// Half the starts are urgent, so that ordinary turns are 20 ms apart and urgent ones 10.
+	g.Expect(accepted(ordinary)).To(gomega.Equal(3), "a fifth of the objective")
+	g.Expect(accepted(urgent)).To(gomega.Equal(15), "half of the objective")
+}
+
 func TestWeightsDivideTheCapacityOfEqualPriorities(t *testing.T) {
 	g := gomega.NewWithT(t)
 	q := waitqueue.New(map[string]float64{"reads": 3})
--- a/waitqueue/request.go
+++ b/waitqueue/request.go
@@ -17,6 +17,12 @@
 	// it joins the queue. With longer waits more requests are overtaken and refused late, and
 	// the few that run several times as long as the mean are all late.
 	maxWaitShare = 1. / 3
+	// overtakenWaitShare is the same while starts go to higher priorities. With the share
+	// above, a part of those that waited was overtaken and refused after more than 100 ms.
+	overtakenWaitShare = 0.2
+	// urgentWaitShare is the same for requests that none of a higher priority overtake, while
+	// starts go to lower priorities, which make room.
+	urgentWaitShare = 0.5
 	// attemptLimit is the time after its first packet at which a caller abandons an attempt
 	// that got no answer to its opening packet.
 	attemptLimit = 1400 * time.Millisecond
