Count only requests that are likely to come as taking places

Cause: in the second after an outage companions started 43 flows for 28 requests; the other callers had abandoned their attempts, each kept a place empty until its request was overdue, and 2 to 4 of 4 slots ran while 11 packets waited. Change: expected requests count by the share of admitted flows whose request came lately.

--- a/passthrough/gate/caller.go
+++ b/passthrough/gate/caller.go
@@ -59,7 +59,7 @@
 			g.health.lastProgress = now
 		}
 		g.running++
-		g.expected.remove(flow)
+		g.expected.requestCame(flow)
 		reason = passthrough.ReasonRequest
 	}
 	if (p.Flags.Has(core.TCPFin) || p.Flags.Has(core.TCPRst)) && flow.awaitingAnswer && now.Sub(flow.requestStart) > g.health.stallTimeout() {
--- a/passthrough/gate/expectation.go
+++ b/passthrough/gate/expectation.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -13,6 +14,10 @@
 	confirmFactor  = 4
 	minConfirmTime = 50 * time.Millisecond
 	maxConfirmTime = 500 * time.Millisecond
+	// arrivalWeight is the weight of the last admitted flow in the share of those whose
+	// first request comes, and minArrivalShare the least share that is assumed.
+	arrivalWeight   = 0.05
+	minArrivalShare = 0.25
 )
 
 // expectations counts the flows whose first request is expected: those that were
@@ -25,6 +30,10 @@
 	// meanTime is the moving average of the time from admission to confirmation, zero
 	// while unknown.
 	meanTime time.Duration
+	// missing is the moving average of the share of admitted flows whose first request
+	// hasn't come in time. After an outage half of them didn't, and each kept a place empty
+	// until it was overdue.
+	missing float64
 }
 
 // admitted records an admitted flow.
@@ -44,6 +53,19 @@
 	e.meanTime = smooth(e.meanTime, took, confirmWeight)
 }
 
+// requestCame records the flow's first request.
+func (e *expectations) requestCame(flow *gateFlow) {
+	if flow.expected {
+		e.missing -= arrivalWeight * e.missing
+		e.remove(flow)
+	}
+}
+
+// likely returns how many of the counted flows' requests are expected to come.
+func (e *expectations) likely() int {
+	return int(math.Ceil(max(1-e.missing, minArrivalShare) * float64(e.count)))
+}
+
 // remove stops counting the flow.
 func (e *expectations) remove(flow *gateFlow) {
 	if flow.expected {
@@ -60,7 +82,10 @@
 	}
 	expired := 0
 	for expired < len(e.queue) && now.Sub(e.queue[expired].admittedAt) > limit {
-		e.remove(e.queue[expired])
+		if e.queue[expired].expected {
+			e.missing += arrivalWeight * (1 - e.missing)
+			e.remove(e.queue[expired])
+		}
 		expired++
 	}
 	e.queue = slices.Delete(e.queue, 0, expired)
--- a/passthrough/gate/queue.go
+++ b/passthrough/gate/queue.go
@@ -82,7 +82,7 @@
 	g.expected.expire(now)
 	interval := g.interval(now)
 	return waitqueue.Room{
-		Slots: g.target.Slots, Taken: g.running + g.expected.count, Interval: interval,
+		Slots: g.target.Slots, Taken: g.running + g.expected.likely(), Interval: interval,
 		Run: interval * time.Duration(g.target.Slots), Handshake: g.expected.meanTime,
 	}
 }
--- a/passthrough/queue_test.go
+++ b/passthrough/queue_test.go
@@ -462,3 +462,24 @@
 		}
 	})
 }
+
+// After an outage half of the delivered opening packets belonged to attempts that their
+// callers had abandoned. Each kept a place empty until its request was overdue, and the
+// slots were half idle while packets waited.
+func TestPlacesAreKeptOnlyForRequestsThatAreLikelyToCome(t *testing.T) {
+	b := newPaceHarness(t)
+	for port := range 20 {
+		b.exchange(port)
+	}
+	places := b.admittedOf(1000, 40)
+	for round := 1; round <= 10; round++ {
+		b.advance(time.Second)
+		b.announce(announcement(uint64(100 + round)))
+		b.gate.Continue(b.now)
+		b.admittedOf(1000+100*round, 40)
+	}
+	b.advance(time.Second)
+	b.announce(announcement(200))
+	b.gate.Continue(b.now)
+	b.g.Expect(b.admittedOf(5000, 40)).To(gomega.BeNumerically(">=", 2*places), "most requests don't come")
+}
