--- a/cmd/zinniapulley/platform.go
+++ b/cmd/zinniapulley/platform.go
@@ -23,6 +23,7 @@
 	"zinniapulley.dev/roles/companion"
 	"zinniapulley.dev/roles/control"
 	"zinniapulley.dev/roles/entry"
+	"zinniapulley.dev/waitqueue"
 )
 
 const (
@@ -52,9 +53,11 @@
 	MetricsPort uint16     `help:"TCP port of the metrics; 0 for none." default:"0"`
 	LogLevel    slog.Level `help:"Lowest level that is logged: debug, info, warn or error." default:"info"`
 
-	settings     *platform.Settings
-	log          *slog.Logger
-	metrics      metrics.Registry
+	settings *platform.Settings
+	log      *slog.Logger
+	metrics  metrics.Registry
+	// questions answers operators' questions at the metrics address, nil for none.
+	questions    http.Handler
 	currentSeeds atomic.Pointer[[]netip.AddrPort]
 }
 
@@ -89,7 +92,7 @@
 // serve runs the role and its HTTP servers until a signal stops them.
 func (p *platformProcess) serve(r role, listeners ...listener) error {
 	if p.MetricsPort != 0 {
-		listeners = append(listeners, listener{netip.AddrPortFrom(p.settings.Address, p.MetricsPort), metricsHandler(p.metrics)})
+		listeners = append(listeners, listener{netip.AddrPortFrom(p.settings.Address, p.MetricsPort), metricsHandler(p.metrics, p.questions)})
 	}
 	for _, l := range listeners {
 		if !l.address.IsValid() {
@@ -144,15 +147,21 @@
 		case <-ctx.Done():
 			return
 		case <-signals:
-			changed := p.reloadSettings()
-			p.log.Info("settings reloaded", "seeds", *p.currentSeeds.Load())
-			if changed != nil {
-				p.warnRestartNeeded(changed)
-			}
+			p.reload()
 		}
 	}
 }
 
+// reload reloads the settings and logs the outcome.
+func (p *platformProcess) reload() {
+	changed := p.reloadSettings()
+	if changed == nil {
+		return
+	}
+	p.log.Info("settings reloaded", "seeds", *p.currentSeeds.Load())
+	p.warnRestartNeeded(changed)
+}
+
 // warnRestartNeeded logs the names of changed settings that apply only at the next start.
 func (p *platformProcess) warnRestartNeeded(changed *platform.Settings) {
 	names := p.settings.Changed(changed)
@@ -161,15 +170,34 @@
 	}
 }
 
-// metricsHandler writes the metrics as text.
-func metricsHandler(registry metrics.Registry) http.Handler {
+// metricsHandler writes the metrics as text and answers questions, if there is a handler.
+func metricsHandler(registry metrics.Registry, questions http.Handler) http.Handler {
 	mux := http.NewServeMux()
+	if questions != nil {
+		mux.Handle("GET "+pathExplain, questions)
+	}
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(registry, w) })
 	return mux
 }
 
 // platformEntry runs an entry instance.
-type platformEntry struct{ platformProcess }
+type platformEntry struct {
+	platformProcess
+
+	PlanLeaving   bool    `help:"Plan which new flows leave the data centre; without it they leave by load alone."`
+	LeavingCostMs float64 `help:"Cost of leaving the data centre: how many milliseconds an answer must gain by it, 0 to 60000." default:"5"`
+}
+
+// maxLeavingCostMs is the highest cost, in milliseconds: no request waits for longer.
+const maxLeavingCostMs = 60_000
+
+// Validate checks the flags; kong calls it.
+func (c *platformEntry) Validate() error {
+	if !(c.LeavingCostMs >= 0 && c.LeavingCostMs <= maxLeavingCostMs) {
+		return errors.Errorf("--leaving-cost-ms=%v: must be from 0 to %d milliseconds", c.LeavingCostMs, maxLeavingCostMs)
+	}
+	return nil
+}
 
 // Run builds the entry instance from its settings and serves.
 func (c *platformEntry) Run() error {
@@ -180,16 +208,24 @@
 	s := c.settings
 	built, err := entry.New(entry.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Packets: s.Listen.Packets, Peers: c.internalAddress(), Seeds: c.seeds,
-		Network: s.Network, Codec: platform.Datagrams{CallerPort: s.Listen.Packets.Port()}, Log: c.log, Metrics: c.metrics,
+		Network: s.Network, PlanLeaving: c.PlanLeaving, LeavingCost: time.Duration(c.LeavingCostMs * float64(time.Millisecond)),
+		Codec: platform.Datagrams{CallerPort: s.Listen.Packets.Port()}, Log: c.log, Metrics: c.metrics,
 	})
 	if err != nil {
 		return err
 	}
+	c.questions = explainHandler(built)
 	return c.serve(built, listener{s.Listen.Ready, platform.ReadyHandler(built)})
 }
 
 // platformCompanion runs a companion.
-type platformCompanion struct{ platformProcess }
+type platformCompanion struct {
+	platformProcess
+	RouteWeight map[string]float64 `help:"Weight of a route for its share of the backend server's capacity; repeatable. Routes without one have the weight 1." placeholder:"NAME=WEIGHT"`
+}
+
+// Validate reports invalid weights. Kong calls it when it parses the command line.
+func (c *platformCompanion) Validate() error { return waitqueue.CheckWeights(c.RouteWeight) }
 
 // Run builds the companion from its settings and serves.
 func (c *platformCompanion) Run() error {
@@ -208,6 +244,7 @@
 			DataCentre: s.DataCentre, AnnouncementLimit: time.Duration(float64(s.AnnounceInterval) * announcementLimitIntervals),
 			FirstAnnouncementLimit: s.AnnounceInterval * firstAnnouncementIntervals,
 			ColdFactor:             s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, MaxFlowAge: s.Bounds.MaxFlowAge,
+			RouteWeights: c.RouteWeight,
 		},
 		Codec: platform.Datagrams{CallerPort: s.Listen.Packets.Port()}, Log: c.log, Metrics: c.metrics,
 	})
--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"zinniapulley.dev/capacity"
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
 	"zinniapulley.dev/route"
@@ -49,6 +50,10 @@
 	Query
 	// Survey has a companion query others whether they hold the flow.
 	Survey
+	// Relay has a companion pass copies of the packet to others. Survey lists these.
+	Relay
+	// Check sends a companion a numbered query whether it still holds a flow, in Survey.
+	Check
 	// RequestStatus requests a companion's full status.
 	RequestStatus
 	// Reset answers the caller with a reset.
@@ -59,6 +64,11 @@
 	Drop
 )
 
+// String returns the kind in words.
+func (k Kind) String() string {
+	return [...]string{"none", "forward", "lookup", "query", "survey", "request status", "reset", "wait", "drop"}[min(k, Drop)]
+}
+
 // Action is one action on a packet.
 type Action struct {
 	Kind   Kind
@@ -71,6 +81,11 @@
 	// Status and Age are what the choice of To was based on, for the log.
 	Status passthrough.Status
 	Age    time.Duration
+	// Room holds the figures by which no backend server can start the flow in time, nil
+	// otherwise.
+	Room *capacity.Room
+	// Placement is whether the flow stays in this data centre, and why.
+	Placement Placement
 }
 
 // attempt is one companion that an opening packet was sent to.
@@ -79,6 +94,9 @@
 	sentAt    time.Time
 	admitted  bool
 	refused   bool
+	// repeated is set once the packet was sent there again, so that a response may
+	// belong to either.
+	repeated bool
 }
 
 // cachedFlow is a Dispatcher's record of one flow.
@@ -90,6 +108,11 @@
 	// busy is set when a companion refused the flow only because its answer would
 	// come too late.
 	busy bool
+	// ownerEpoch is the owner's epoch when it confirmed the flow, zero for unknown.
+	ownerEpoch uint32
+	// ack is the caller's last acknowledgement, valid if acked is set.
+	ack   uint32
+	acked bool
 	// lookup is set while the flow's owner is looked up.
 	lookup *flowLookup
 	// closing is set once the caller has closed its side.
@@ -101,8 +124,11 @@
 	dataCentre core.DataCentre
 	table      *route.Table
 	companions map[netip.AddrPort]*companion
-	byService  map[core.ServiceName][]*companion
-	flows      map[core.FlowKey]*cachedFlow
+	byService  map[core.ServiceName]*serviceState
+	// ways has the network delay to each data centre; ownWay is that to this one.
+	ways   map[core.DataCentre]*way
+	ownWay *way
+	flows  map[core.FlowKey]*cachedFlow
 	// created is when this entry instance started; started is when it began to receive
 	// statuses: its start, or the end of a pause in which it received nothing.
 	created time.Time
@@ -110,24 +136,36 @@
 	// lastSweepCall is when Sweep was last called, lastSweep when it last removed flows.
 	lastSweepCall time.Time
 	lastSweep     time.Time
-	// maxQueries is how many messages lookups may send in any second, and queries how many
-	// they may send as of refilledAt.
-	maxQueries float64
-	queries    float64
-	refilledAt time.Time
+	// maxLookupBytes is how many bytes lookups may send in any second, and lookupBytes how
+	// many they may send as of refilledAt.
+	maxLookupBytes float64
+	lookupBytes    float64
+	refilledAt     time.Time
+	// backlog is set while a lookup waits for its turn to send: others queue behind it.
+	backlog bool
 	// firstRequestAt and requestedAt are when statuses were first and last requested.
 	firstRequestAt time.Time
 	requestedAt    time.Time
-	// lookups counts the lookups; active holds those that await answers.
+	// lookups counts the lookups and relays; active holds the lookups that await answers.
 	lookups uint32
 	active  map[*flowLookup]core.FlowKey
+	// due and lookupMessages are reused: the lookups to continue, and the messages of one.
+	due            []*flowLookup
+	lookupMessages []Action
+	relays         RelayCounts
+	checks         checks
 	// waiting holds the opening packets that can't be decided yet, by flow.
 	waiting map[core.FlowKey]waitingPacket
+	// retries bounds the further tries of refused opening packets.
+	retries retryBudget
 	// heldPackets counts the packets held while their flows are looked up.
 	heldPackets int
+	// sites is reused by Capacity.
+	sites []capacity.Site
 	// ranked, local and firsts are reused by the choices.
 	ranked, local, firsts []*companion
 	out                   []Action
+	leaving               leaving
 }
 
 // New returns a Dispatcher without a view.
@@ -138,11 +176,14 @@
 		started:    now,
 		refilledAt: now,
 		companions: make(map[netip.AddrPort]*companion),
-		byService:  make(map[core.ServiceName][]*companion),
+		byService:  make(map[core.ServiceName]*serviceState),
+		ways:       make(map[core.DataCentre]*way),
 		flows:      make(map[core.FlowKey]*cachedFlow),
 		active:     make(map[*flowLookup]core.FlowKey),
 		waiting:    make(map[core.FlowKey]waitingPacket),
+		checks:     newChecks(),
 	}
+	d.ownWay = d.wayTo(dataCentre)
 	d.SetNetwork(0)
 	return d
 }
@@ -185,93 +226,30 @@
 
 // openingPacket decides about a packet that requests a new flow.
 func (d *Dispatcher) openingPacket(now time.Time, p *passthrough.Packet) {
-	if !d.settled(now) {
-		d.wait(now, p, d.unsettledReason())
-		return
-	}
 	flow, known := d.flows[p.Key]
-	if known && flow.owner.IsValid() {
-		flow.lastSeen = now
-		d.stopWaiting(p.Key)
-		d.forward(now, p, flow.owner, passthrough.ReasonCached)
-		return
-	}
-	r := d.table.Route(p.Key.Service)
-	if r == nil {
-		d.stopWaiting(p.Key)
-		d.reset(p, passthrough.ReasonNoRoute)
-		return
-	}
 	if !known {
 		flow = &cachedFlow{}
-		d.flows[p.Key] = flow
 	}
 	flow.lastSeen = now
-	active := flow.activeCompanion(now)
-	if active.IsValid() {
-		d.forward(now, p, active, passthrough.ReasonAlreadyTried)
-		return
-	}
-	d.tryNext(now, p, flow, r)
+	d.applyOpening(now, p, flow, d.judgeOpening(now, p, flow))
 }
 
 // activeCompanion returns the companion that a copy of the opening packet goes to:
 // the one that admitted the flow, or one that may still answer.
-func (f *cachedFlow) activeCompanion(now time.Time) netip.AddrPort {
+func (d *Dispatcher) activeCompanion(now time.Time, f *cachedFlow) netip.AddrPort {
 	for _, a := range f.attempts {
-		if a.admitted || (!a.refused && now.Sub(a.sentAt) < retryElsewhereAfter) {
+		if (a.admitted && d.responds(now, a.companion)) || (!a.refused && now.Sub(a.sentAt) < retryElsewhereAfter) {
 			return a.companion
 		}
 	}
 	return netip.AddrPort{}
 }
 
-// tryNext sends the flow to the best companion that it wasn't sent to before.
-func (d *Dispatcher) tryNext(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route) {
-	best, busy := d.choose(now, p, flow, r)
-	if best == nil || len(flow.attempts) >= maxAttempts {
-		flow.busy = flow.busy || busy
-		d.exhausted(now, p, flow)
-		return
-	}
-	d.triedAgain(p.Key)
-	best.sentOpening(now)
-	flow.attempts = append(flow.attempts, attempt{companion: best.status.Companion, sentAt: now})
-	d.out = append(d.out, Action{
-		Kind: Forward, Reason: passthrough.ReasonChosen, To: best.status.Companion, Packet: p,
-		Status: best.status, Age: now.Sub(best.lastSeen),
-	})
-}
-
-// exhausted handles an opening packet that no further companion can admit.
-func (d *Dispatcher) exhausted(now time.Time, p *passthrough.Packet, flow *cachedFlow) {
-	if len(flow.attempts) == 0 && !flow.busy {
-		d.remove(p.Key, flow)
-		if now.Sub(d.started) < startGrace {
-			d.wait(now, p, passthrough.ReasonStarting)
-			return
-		}
-		d.stopWaiting(p.Key)
-		d.reset(p, passthrough.ReasonNoCandidate)
-		return
-	}
-	for i := range flow.attempts {
-		// One that hasn't refused may have admitted the flow.
-		if !flow.attempts[i].refused {
-			flow.attempts[i].sentAt = now
-			d.forward(now, p, flow.attempts[i].companion, passthrough.ReasonAlreadyTried)
-			return
-		}
-	}
-	busy := flow.busy && p.Ack < callerCopies
-	d.remove(p.Key, flow)
-	if busy {
-		// There may be room soon, and the caller still waits.
-		d.wait(now, p, passthrough.ReasonBusy)
-		return
-	}
-	d.stopWaiting(p.Key)
-	d.reset(p, passthrough.ReasonAllRefused)
+// responds reports whether nothing shows that the companion has died. One that has died
+// after it admitted the flow may have kept the opening packet waiting.
+func (d *Dispatcher) responds(now time.Time, at netip.AddrPort) bool {
+	c, known := d.companions[at]
+	return known && c.fresh(now) && !c.unreachable(now)
 }
 
 // laterPacket decides about a packet of a flow that should be open.
@@ -282,6 +260,7 @@
 		d.flows[p.Key] = flow
 	}
 	flow.lastSeen = now
+	flow.ack, flow.acked = p.Ack, p.Flags.Has(core.TCPAck)
 	if p.Flags.Has(core.TCPFin) || p.Flags.Has(core.TCPRst) {
 		flow.closing = true
 	}
@@ -338,12 +317,13 @@
 		flow.busy = true
 		d.refusedBusy(now, from, p)
 	}
+	d.measureWay(now, from, flow)
 	for i := range flow.attempts {
 		if flow.attempts[i].companion == from {
 			flow.attempts[i].refused, flow.attempts[i].admitted = true, false
 		}
 	}
-	if flow.activeCompanion(now).IsValid() {
+	if d.activeCompanion(now, flow).IsValid() {
 		return d.out
 	}
 	r := d.table.Route(p.Key.Service)
@@ -352,7 +332,11 @@
 		d.reset(p, passthrough.ReasonNoRoute)
 		return d.out
 	}
-	d.tryNext(now, p, flow, r)
+	if reason == passthrough.ReasonBusy && !d.retries.take() {
+		d.applyOpening(now, p, flow, d.judgeExhausted(now, p, flow, true))
+		return d.out
+	}
+	d.applyOpening(now, p, flow, d.judgeNext(now, p, flow, r))
 	return d.out
 }
 
@@ -399,7 +383,7 @@
 func (d *Dispatcher) HandleNote(now time.Time, from netip.AddrPort, note passthrough.Note) []Action {
 	d.out = d.out[:0]
 	if c, known := d.companions[from]; known {
-		c.setLoad(note.Running, note.Flows)
+		c.setLoad(now, note.Running, note.Flows)
 		c.unansweredSince = time.Time{}
 	}
 	flow, known := d.flows[note.Key]
@@ -408,11 +392,13 @@
 	}
 	switch note.Kind {
 	case passthrough.NoteAdmitted:
+		d.retries.admitted()
+		d.measureWay(now, from, flow)
 		for i := range flow.attempts {
 			flow.attempts[i].admitted = flow.attempts[i].admitted || flow.attempts[i].companion == from
 		}
 	case passthrough.NoteHeld:
-		flow.owner = from
+		flow.owner, flow.ownerEpoch = from, d.epochOf(from)
 		flow.attempts = nil
 		d.sendHeldToOwner(now, flow)
 	case passthrough.NoteLost:
@@ -420,7 +406,7 @@
 	case passthrough.NoteNotHeld:
 		d.recordNotHeld(now, note.Key, flow, from)
 	case passthrough.NoteUnsure:
-		d.sendLookupCopy(flow, from)
+		d.noteUnsure(now, note.Key, flow, from)
 	}
 	return d.out
 }
@@ -431,8 +417,10 @@
 func (d *Dispatcher) Continue(now time.Time) []Action {
 	d.out = d.out[:0]
 	d.requestStatuses(now)
+	d.updatePlans(now)
 	d.retryWaiting(now)
 	d.retryLookups(now)
+	d.continueChecks(now)
 	return d.out
 }
 
@@ -447,6 +435,7 @@
 func (d *Dispatcher) Sweep(now time.Time) {
 	if !d.lastSweepCall.IsZero() && now.Sub(d.lastSweepCall) > pauseLimit {
 		d.started = now
+		d.checks.clear()
 	}
 	d.lastSweepCall = now
 	if now.Sub(d.lastSweep) < passthrough.SweepInterval {
@@ -461,6 +450,9 @@
 	}
 	expired := false
 	for address, c := range d.companions {
+		if now.Sub(c.paceAt) > paceLifetime {
+			c.pace = passthrough.Pace{}
+		}
 		if now.Sub(c.lastSeen) > statusLimit {
 			delete(d.companions, address)
 			expired = true
--- a/passthrough/dispatch/waiting.go
+++ b/passthrough/dispatch/waiting.go
@@ -18,6 +18,9 @@
 	// busyRetry is the time after which a flow that was refused by busy backend servers
 	// is tried again: a few service times.
 	busyRetry = 100 * time.Millisecond
+	// fullRetry is the same for a flow for which no backend server had room by its state,
+	// so that it is decided again at each call of Continue.
+	fullRetry = 40 * time.Millisecond
 	// settleTime is how long an entry instance waits for the statuses that it has
 	// requested at its start, unless settledShare of them have come.
 	settleTime   = 60 * time.Millisecond
@@ -44,8 +47,11 @@
 		return
 	}
 	w := waitingPacket{packet: p.Clone(), since: now, retryAt: now, reason: reason}
-	if reason == passthrough.ReasonBusy {
+	switch reason {
+	case passthrough.ReasonBusy:
 		w.retryAt = now.Add(busyRetry)
+	case passthrough.ReasonFull:
+		w.retryAt = now.Add(fullRetry)
 	}
 	sameCopy := known && previous.packet.Ack == p.Ack
 	if sameCopy {
@@ -73,7 +79,7 @@
 				d.drop(&w.packet, w.reason)
 			}
 		case w.tried || now.Before(w.retryAt):
-		case w.reason == passthrough.ReasonBusy:
+		case waitsForRoom(w.reason):
 			busy = append(busy, w)
 		default:
 			d.openingPacket(now, &w.packet)
@@ -83,10 +89,19 @@
 		return cmp.Or(b.since.Compare(a.since), cmp.Compare(hashOf(a.packet.Key), hashOf(b.packet.Key)))
 	})
 	for i := range busy[:min(len(busy), d.readySlots(now))] {
+		if busy[i].reason == passthrough.ReasonBusy && !d.retries.take() {
+			continue
+		}
 		d.openingPacket(now, &busy[i].packet)
 	}
 }
 
+// waitsForRoom reports whether a packet that waits for the reason waits until a backend
+// server has room.
+func waitsForRoom(reason passthrough.Reason) bool {
+	return reason == passthrough.ReasonBusy || reason == passthrough.ReasonFull
+}
+
 // readySlots returns how many slots the companions have that admit new flows.
 func (d *Dispatcher) readySlots(now time.Time) int {
 	slots := 0
--- a/passthrough/gate/gate.go
+++ b/passthrough/gate/gate.go
@@ -9,6 +9,7 @@
 	"zinniapulley.dev/core"
 	"zinniapulley.dev/passthrough"
 	"zinniapulley.dev/route"
+	"zinniapulley.dev/waitqueue"
 )
 
 const (
@@ -53,6 +54,9 @@
 	// MaxFlowAge is the age that no flow exceeds. A Gate that has run for longer
 	// tracks every flow; one that was started after a flow doesn't track it.
 	MaxFlowAge time.Duration
+	// RouteWeights are the routes' weights for their shares of the capacity, by name; 1 for
+	// a route that isn't listed.
+	RouteWeights map[string]float64
 }
 
 // Kind is what a companion does with a packet.
@@ -75,6 +79,8 @@
 	// AnswerSurvey tells the companion that conducts a survey that the flow isn't
 	// held here.
 	AnswerSurvey
+	// Queue keeps an opening packet until a place is free.
+	Queue
 	// Drop discards the packet.
 	Drop
 )
@@ -83,6 +89,8 @@
 type Action struct {
 	Kind   Kind
 	Reason passthrough.Reason
+	// Order is why a packet was queued or left the queue.
+	Order waitqueue.Reason
 	// To is the entry instance of Refuse, NotHeld and SendNote, and the companion
 	// of AnswerSurvey.
 	To     netip.AddrPort
@@ -92,6 +100,8 @@
 	Note     passthrough.Note
 	// SurveyNumber is the number of the query of AnswerSurvey.
 	SurveyNumber uint32
+	// Waited is how long a packet that leaves the queue was there.
+	Waited time.Duration
 }
 
 // stage is the state of a flow.
@@ -119,6 +129,11 @@
 	entry netip.AddrPort
 	// lookupCopy is set when that packet was a lookup copy, sent to others too.
 	lookupCopy bool
+	// relayed is the relay that the copy belongs to, if any.
+	relayed relayOrigin
+	// openingAt is when the flow's last opening packet was delivered, or when the flow was
+	// first seen if none was.
+	openingAt time.Time
 	// admittedAt is when the flow was admitted here; expected is set while its first
 	// request is expected.
 	admittedAt time.Time
@@ -158,6 +173,11 @@
 	expected expectations
 	pace     pace
 	health   health
+	// queue orders the opening packets that wait, which queued holds.
+	queue  *waitqueue.Queue
+	queued map[core.FlowKey]*queuedPacket
+	// coldPace is the pace while the backend server is cold.
+	coldPace pace
 	// delivered holds the delivery times of the newest opening packets.
 	delivered []time.Time
 	// openingUnanswered is when the first opening packet was delivered since the
@@ -170,9 +190,12 @@
 	// backInService is when the data centre returned to service; zero if it never
 	// was out of service.
 	backInService time.Time
-	stopping      bool
-	lastSweep     time.Time
-	out           []Action
+	// replaced is set when another backend server has announced itself, until the flows
+	// of the earlier one are reset.
+	replaced  bool
+	stopping  bool
+	lastSweep time.Time
+	out       []Action
 	// Served, if set, is called with a flow and the time from its request to the
 	// beginning of the answer.
 	Served func(core.FlowKey, time.Duration)
@@ -181,7 +204,10 @@
 // New returns a Gate that admits nothing until it has a view and its backend
 // server has announced itself.
 func New(now time.Time, config Config) *Gate {
-	return &Gate{config: config, started: now, flows: make(map[core.FlowKey]*gateFlow)}
+	return &Gate{
+		config: config, started: now, flows: make(map[core.FlowKey]*gateFlow),
+		queue: waitqueue.New(config.RouteWeights), queued: make(map[core.FlowKey]*queuedPacket),
+	}
 }
 
 // SetTable puts a newer view in force. It ignores an older one.
@@ -193,6 +219,7 @@
 		g.backInService = now
 	}
 	g.table = table
+	g.configureQueue()
 }
 
 // Version returns the version of the configuration in force, zero for none.
@@ -215,27 +242,37 @@
 // next call of a method.
 func (g *Gate) FromEntry(now time.Time, entry netip.AddrPort, lookupCopy bool, version uint64, p *passthrough.Packet) []Action {
 	g.out = g.out[:0]
+	g.fromEntry(now, entry, lookupCopy, relayOrigin{}, version, p)
+	return g.out
+}
+
+func (g *Gate) fromEntry(now time.Time, entry netip.AddrPort, lookupCopy bool, relayed relayOrigin, version uint64, p *passthrough.Packet) {
 	flow, known := g.flows[p.Key]
 	if known && flow.stage == stageNotHeld && p.Flags.Opens() {
 		delete(g.flows, p.Key)
 		flow, known = nil, false
 	}
 	if known {
-		flow.entry, flow.lookupCopy, flow.lastSeen = entry, lookupCopy, now
+		flow.entry, flow.lookupCopy, flow.relayed, flow.lastSeen = entry, lookupCopy, relayed, now
+	}
+	if len(g.queued) > 0 && !p.Flags.Opens() {
+		g.leaveQueue(p.Key)
 	}
 	switch {
 	case p.Flags.Opens():
 		g.openingPacket(now, entry, version, p, flow)
 	case !known:
-		g.unknownFlow(now, entry, lookupCopy, p)
+		g.unknownFlow(now, entry, lookupCopy, relayed, p)
 	case flow.stage == stageNotHeld:
-		g.returnPacket(entry, lookupCopy, p, passthrough.ReasonNotHeld)
+		g.returnPacket(entry, lookupCopy, relayed, p, passthrough.ReasonNotHeld)
 	case flow.stage == stageHalfOpen:
 		g.confirmation(now, p, flow)
 	default:
 		g.laterPacket(now, p, flow)
 	}
-	return g.out
+	if len(g.queued) > 0 {
+		g.startNext(now)
+	}
 }
 
 // HandleQuery answers an entry instance that looks up a flow. The result is valid until
@@ -257,15 +294,34 @@
 // openingPacket decides about a packet that requests a new flow, or a copy of one.
 func (g *Gate) openingPacket(now time.Time, entry netip.AddrPort, version uint64, p *passthrough.Packet, flow *gateFlow) {
 	if flow != nil {
+		flow.openingAt = now
 		g.act(Deliver, passthrough.ReasonAlreadyTried, p)
 		return
 	}
-	reason := g.refusalReason(now, version, p)
+	if g.requeue(now, entry, version, p) {
+		return
+	}
+	reason := g.refusalReason(now, version, p.Key)
+	if reason == passthrough.ReasonNone && !g.placeFree(now, entry, version, p) {
+		return
+	}
+	if reason == passthrough.ReasonNone {
+		reason = g.startReason(now)
+	}
 	if reason != passthrough.ReasonNone {
-		g.out = append(g.out, Action{Kind: Refuse, Reason: reason, To: entry, Packet: p})
+		g.refuse(reason, entry, p)
 		return
 	}
-	flow = &gateFlow{stage: stageHalfOpen, entry: entry, lastSeen: now}
+	g.admit(now, entry, p)
+}
+
+func (g *Gate) refuse(reason passthrough.Reason, entry netip.AddrPort, p *passthrough.Packet) {
+	g.out = append(g.out, Action{Kind: Refuse, Reason: reason, To: entry, Packet: p})
+}
+
+// admit delivers the opening packet of a new flow.
+func (g *Gate) admit(now time.Time, entry netip.AddrPort, p *passthrough.Packet) {
+	flow := &gateFlow{stage: stageHalfOpen, entry: entry, openingAt: now, lastSeen: now}
 	g.flows[p.Key] = flow
 	g.open++
 	g.expected.admitted(now, flow)
@@ -280,9 +336,9 @@
 
 // unknownFlow decides about a packet of a flow that isn't tracked here. It is
 // delivered only while the backend server may hold flows older than this Gate.
-func (g *Gate) unknownFlow(now time.Time, entry netip.AddrPort, lookupCopy bool, p *passthrough.Packet) {
+func (g *Gate) unknownFlow(now time.Time, entry netip.AddrPort, lookupCopy bool, relayed relayOrigin, p *passthrough.Packet) {
 	if g.tracksAllFlows(now) || !g.mayHold(p.Key) {
-		g.returnPacket(entry, lookupCopy, p, passthrough.ReasonNotHeld)
+		g.returnPacket(entry, lookupCopy, relayed, p, passthrough.ReasonNotHeld)
 		return
 	}
 	if lookupCopy && !g.target.Known {
@@ -292,7 +348,7 @@
 		g.act(Drop, passthrough.ReasonNoTarget, p)
 		return
 	}
-	g.flows[p.Key] = &gateFlow{stage: stageUnconfirmed, entry: entry, lookupCopy: lookupCopy, lastSeen: now}
+	g.flows[p.Key] = &gateFlow{stage: stageUnconfirmed, entry: entry, lookupCopy: lookupCopy, relayed: relayed, openingAt: now, lastSeen: now}
 	g.act(Deliver, passthrough.ReasonUnknownFlow, p)
 }
 
@@ -316,8 +372,13 @@
 }
 
 // returnPacket returns a packet to the entry instance because the backend server
-// doesn't hold its flow. A lookup copy is only answered with a note.
-func (g *Gate) returnPacket(entry netip.AddrPort, lookupCopy bool, p *passthrough.Packet, reason passthrough.Reason) {
+// doesn't hold its flow. A lookup copy is only answered with a note, and a relayed one
+// with an answer to its conductor.
+func (g *Gate) returnPacket(entry netip.AddrPort, lookupCopy bool, relayed relayOrigin, p *passthrough.Packet, reason passthrough.Reason) {
+	if relayed.conductor.IsValid() {
+		g.out = append(g.out, Action{Kind: AnswerSurvey, Reason: reason, To: relayed.conductor, SurveyNumber: relayed.number})
+		return
+	}
 	if lookupCopy {
 		g.note(passthrough.NoteNotHeld, reason, p.Key, entry)
 		return
@@ -333,6 +394,6 @@
 	if !entry.IsValid() {
 		return
 	}
-	note := passthrough.Note{Kind: kind, Key: key, Running: g.running, Flows: g.open}
+	note := passthrough.Note{Kind: kind, Key: key, Running: g.running + g.queue.Len(), Flows: g.open}
 	g.out = append(g.out, Action{Kind: SendNote, Reason: reason, To: entry, Note: note})
 }
--- a/passthrough/gate/report.go
+++ b/passthrough/gate/report.go
@@ -20,6 +20,17 @@
 	// senderRetention is how long after its last packet an entry instance gets reports
 	// although control doesn't list it.
 	senderRetention = 15 * time.Second
+	// paceChange is the factor by which a measured time has changed before the pace is
+	// reported again, and countChange the same for the entry instances that use the companion
+	// and for the requests that wait, once there are more than a few.
+	paceChange  = 1.25
+	countChange = 2
+	fewWaiting  = 4
+	// lostIntervals is how many report intervals pass after a pace was sent to all entry
+	// instances before all are told that the measures are lost. At 3,300 companions the
+	// full statuses are more frequent than that, and what an entry instance receives stays
+	// below 29 KB/s.
+	lostIntervals = 20
 )
 
 // Report is what a companion sends, and to which entry instances.
@@ -51,6 +62,11 @@
 	// last full status.
 	load   passthrough.Load
 	loadAt time.Time
+	// pace is the last one that was sent, at paceAt; paceToAllAt is when all were last
+	// sent one.
+	pace        passthrough.Pace
+	paceAt      time.Time
+	paceToAllAt time.Time
 }
 
 // NewReports returns Reports to which nothing has been sent yet.
@@ -98,6 +114,48 @@
 	}
 }
 
+// DuePace returns the pace that is due with a report, and its receivers; none if it isn't
+// due. report is the result of Due. A pace that has changed goes to the entry instances
+// that have just used the companion, the first measures after a start without delay. One
+// that has lost its measures goes to all: nobody uses a companion that was reported slow.
+func (r *Reports) DuePace(now time.Time, report Report, pace passthrough.Pace, entries []netip.AddrPort, companions int) (passthrough.Pace, []netip.AddrPort) {
+	interval := intervalFor(companions)
+	pace = r.PaceFor(now, pace)
+	lost, first := pace.Run == 0 && r.pace.Run != 0, pace.Run != 0 && r.pace.Run == 0
+	var to []netip.AddrPort
+	switch {
+	case report.Full:
+		to = report.To
+		r.paceToAllAt = now
+	case lost && now.Sub(r.paceToAllAt) >= lostIntervals*interval:
+		to = r.all(now, entries)
+		r.paceToAllAt = now
+	case !lost && pace.Users > 0 && (first || now.Sub(r.paceAt) >= interval) && paceChanged(pace, r.pace):
+		to = r.recent(now)
+	default:
+		return pace, nil
+	}
+	r.pace, r.paceAt = pace, now
+	return pace, to
+}
+
+// PaceFor returns the pace with the number of entry instances that have just used the
+// companion.
+func (r *Reports) PaceFor(now time.Time, pace passthrough.Pace) passthrough.Pace {
+	r.removeUnused(now)
+	pace.Users = len(r.lastOpened)
+	return pace
+}
+
+// paceChanged reports whether a pace differs enough from the last one to be reported.
+func paceChanged(a, b passthrough.Pace) bool {
+	return differs(float64(a.Run), float64(b.Run), paceChange) || differs(float64(a.Interval), float64(b.Interval), paceChange) ||
+		differs(float64(a.Users), float64(b.Users), countChange) ||
+		differs(float64(a.Waiting+fewWaiting), float64(b.Waiting+fewWaiting), countChange)
+}
+
+func differs(a, b, factor float64) bool { return max(a, b) > factor*min(a, b) }
+
 // intervalFor returns the time between two reports to all entry instances.
 func intervalFor(companions int) time.Duration {
 	return passthrough.ReportInterval * time.Duration(1+companions/passthrough.CompanionsPerInterval)
@@ -117,6 +175,11 @@
 
 // recent returns the entry instances that have just used the companion.
 func (r *Reports) recent(now time.Time) []netip.AddrPort {
-	maps.DeleteFunc(r.lastOpened, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > usedRecently })
+	r.removeUnused(now)
 	return slices.Collect(maps.Keys(r.lastOpened))
 }
+
+// removeUnused removes the entry instances that haven't just used the companion.
+func (r *Reports) removeUnused(now time.Time) {
+	maps.DeleteFunc(r.lastOpened, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > usedRecently })
+}
--- a/passthrough/gate/server.go
+++ b/passthrough/gate/server.go
@@ -12,26 +12,32 @@
 func (g *Gate) FromServer(now time.Time, p *passthrough.Packet) []Action {
 	g.out = g.out[:0]
 	g.serverResponded()
+	g.serverPacket(now, p)
+	g.startNext(now)
+	return g.out
+}
+
+func (g *Gate) serverPacket(now time.Time, p *passthrough.Packet) {
 	flow, known := g.flows[p.Key]
 	if p.Returned {
 		g.serverReturned(p, flow)
-		return g.out
+		return
 	}
 	if known && flow.resetsLookupCopy(p) {
-		entry := flow.entry
 		flow.stage, flow.lastSeen = stageNotHeld, now
-		g.returnPacket(entry, true, p, passthrough.ReasonNotHeld)
-		return g.out
+		g.returnPacket(flow.entry, true, flow.relayed, p, passthrough.ReasonNotHeld)
+		return
 	}
 	if !known {
-		flow = &gateFlow{stage: stageOpen}
+		// An opening packet of the same addresses that waits isn't a new flow.
+		g.leaveQueue(p.Key)
+		flow = &gateFlow{stage: stageOpen, openingAt: now}
 		g.flows[p.Key] = flow
 		g.open++
 	}
 	flow.lastSeen = now
 	g.trackServerPacket(now, p, flow)
 	g.act(Answer, passthrough.ReasonNone, p)
-	return g.out
 }
 
 // resetsLookupCopy reports whether the backend server's reset is its response to a
@@ -81,7 +87,7 @@
 	if p.Failure {
 		g.health.failure(now)
 	} else {
-		g.pace.answered(now, took, flow.waited, g.running, g.target.Slots)
+		g.paceAt(now).answered(now, took, flow.waited, g.running, g.target.Slots)
 		g.health.answered(now, took)
 	}
 	g.endRequest(flow)
@@ -96,11 +102,17 @@
 		g.act(Drop, passthrough.ReasonNotHeld, p)
 		return
 	}
-	entry, lookupCopy := flow.entry, flow.lookupCopy
+	entry, lookupCopy, relayed := flow.entry, flow.lookupCopy, flow.relayed
 	switch {
 	case p.Flags.Opens():
 		g.remove(p.Key, flow)
 		g.out = append(g.out, Action{Kind: Refuse, Reason: passthrough.ReasonServerRefused, To: entry, Packet: p})
+	case flow.stage == stageOpen && flow.serverSent && lookupCopy:
+		// Another server may hold a later flow with the same addresses and ports: a lookup
+		// copy never resets it. The entry instance was told that the flow is held here.
+		g.close(flow)
+		flow.stage = stageNotHeld
+		g.returnPacket(entry, false, relayOrigin{}, p, passthrough.ReasonNotHeld)
 	case flow.stage == stageOpen && flow.serverSent:
 		g.flowLost(p, flow)
 	case flow.stage == stageClosed:
@@ -108,7 +120,7 @@
 	default:
 		g.close(flow)
 		flow.stage = stageNotHeld
-		g.returnPacket(entry, lookupCopy, p, passthrough.ReasonNotHeld)
+		g.returnPacket(entry, lookupCopy, relayed, p, passthrough.ReasonNotHeld)
 	}
 }
 
--- a/passthrough/urgency.go
+++ b/passthrough/urgency.go
@@ -7,7 +7,8 @@
 	urgentPriority = 1
 )
 
-// Urgency orders opening packets by how much of a queue they may wait for.
+// Urgency orders opening packets by how soon a companion is tried again that has refused
+// one.
 type Urgency uint8
 
 const (
@@ -24,9 +25,12 @@
 	switch {
 	case p.Ack > 0:
 		return UrgencyRepeated
-	case r.Priority <= urgentPriority:
+	case Urgent(r):
 		return UrgencyHigh
 	default:
 		return UrgencyOrdinary
 	}
 }
+
+// Urgent reports whether the route's requests go ahead of those of ordinary routes.
+func Urgent(r *route.Route) bool { return r.Priority <= urgentPriority }
--- a/roles/companion/owner.go
+++ b/roles/companion/owner.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"zinniapulley.dev/asynclog"
 	"zinniapulley.dev/core"
@@ -44,32 +45,42 @@
 	failedLimit   asynclog.Limit
 	requestLimit  asynclog.Limit
 	lateLimit     asynclog.Limit
+	leftOut       *asynclog.LeftOut
 	// requests holds the identities of requests that wait for a response, by flow.
 	requests map[core.FlowKey]string
 	now      time.Time
 	buffer   []byte
 	reports  *gate.Reports
 	surveys  *gate.Surveys
+	// fullTickDue is when all of the work of a tick is due again; while packets wait, ticks
+	// are more frequent.
+	fullTickDue time.Time
+	// stopped is set once the gate has been stopped.
+	stopped bool
 	// failing is whether requests failed or stalled at the last tick.
 	failing bool
 	meter   *traffic.Meter
+	queue   queueMeter
 }
 
 func newPacketPath(c *Companion) *packetPath {
 	registry := c.config.Metrics
+	leftOut := asynclog.NewLeftOut()
 	path := &packetPath{
 		companion:     c,
 		gate:          gate.New(time.Now(), c.config.Gate),
 		state:         c.state.Load(),
 		log:           c.lines.Logger(),
-		admittedLimit: asynclog.Limit{PerSecond: admittedLinesPerSecond},
-		failedLimit:   asynclog.Limit{PerSecond: failedLinesPerSecond},
-		requestLimit:  asynclog.Limit{PerSecond: requestLinesPerSecond},
-		lateLimit:     asynclog.Limit{PerSecond: lateLinesPerSecond},
+		admittedLimit: asynclog.Limit{PerSecond: admittedLinesPerSecond, LeftOut: leftOut},
+		failedLimit:   asynclog.Limit{PerSecond: failedLinesPerSecond, LeftOut: leftOut},
+		requestLimit:  asynclog.Limit{PerSecond: requestLinesPerSecond, LeftOut: leftOut},
+		lateLimit:     asynclog.Limit{PerSecond: lateLinesPerSecond, LeftOut: leftOut},
+		leftOut:       leftOut,
 		requests:      make(map[core.FlowKey]string),
 		reports:       gate.NewReports(),
 		surveys:       gate.NewSurveys(),
 		meter:         traffic.NewMeter(registry),
+		queue:         newQueueMeter(registry, leftOut),
 	}
 	served := metrics.GetOrRegisterHistogram("requests.microseconds", registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	path.gate.Served = func(key core.FlowKey, took time.Duration) {
@@ -82,6 +93,11 @@
 // refresh applies the newest state published by the control goroutine.
 func (path *packetPath) refresh(now time.Time) {
 	path.now = now
+	if path.companion.stopping.Load() && !path.stopped {
+		path.stopped = true
+		path.gate.Stop()
+		path.execute(now, path.gate.Continue(now))
+	}
 	s := path.companion.state.Load()
 	if s == path.state {
 		return
@@ -92,6 +108,7 @@
 	}
 	path.gate.SetTarget(s.target)
 	path.execute(now, path.gate.ResetFlows())
+	path.execute(now, path.gate.Continue(now))
 }
 
 // Handle processes one datagram.
@@ -111,16 +128,25 @@
 func (path *packetPath) fromEntry(now time.Time, d traffic.Datagram) error {
 	switch hop.KindOf(d.Data) {
 	case hop.KindStatusRequest:
-		path.sendReport(path.reports.HandleRequest(now, d.From, path.status(now), path.companions()))
+		report := path.reports.HandleRequest(now, d.From, path.status(now), path.companions())
+		path.sendReport(report)
+		path.sendPace(path.reports.PaceFor(now, path.gate.Pace(now)), report.To)
 		return nil
 	case hop.KindSurvey, hop.KindSurveyQuery, hop.KindSurveyAnswer:
 		return path.fromSurvey(now, d)
+	case hop.KindRelay:
+		return path.relay(now, d)
+	case hop.KindRelayedCopy:
+		return path.fromRelay(now, d)
 	case hop.KindQuery:
 		key, err := hop.DecodeQuery(d.Data)
 		if err == nil {
 			path.execute(now, path.gate.HandleQuery(now, d.From, key))
 		}
 		return err
+	case hop.KindForward, hop.KindLookup:
+	default:
+		return errors.NotSupportedf("datagram of kind %d", hop.KindOf(d.Data))
 	}
 	envelope, err := hop.DecodeEnvelope(d.Data)
 	if err != nil {
@@ -147,13 +173,17 @@
 	return nil
 }
 
-// Tick removes expired state, requests a probe if a response is overdue, and sends the
-// entry instances the report that is due.
+// Tick continues with the packets that wait. At tickInterval it also removes expired state,
+// requests a probe if a response is overdue, sends the entry instances the report that is
+// due, and logs the counts of the lines that were left out.
 func (path *packetPath) Tick(now time.Time) {
 	path.refresh(now)
-	if path.companion.stopping.Load() {
-		path.gate.Stop()
+	path.execute(now, path.gate.Continue(now))
+	if now.Before(path.fullTickDue) {
+		return
 	}
+	path.fullTickDue = now.Add(tickInterval - queueTickInterval/2)
+	path.leftOut.Write(now, path.log)
 	path.gate.Sweep(now)
 	for _, finished := range path.surveys.Expire(now) {
 		path.sendResult(finished)
@@ -167,7 +197,9 @@
 		path.log.Warn("health of the backend server", "server", status.Server, "failing", status.Failing, "running", status.Running,
 			"flows", status.Flows, "slots", status.Slots)
 	}
-	path.sendReport(path.reports.Due(now, status, path.state.entries, path.companions()))
+	report := path.reports.Due(now, status, path.state.entries, path.companions())
+	path.sendReport(report)
+	path.sendPace(path.reports.DuePace(now, report, path.gate.Pace(now), path.state.entries, path.companions()))
 }
 
 // companions returns how many companions the view lists.
@@ -202,6 +234,14 @@
 	}
 }
 
+// sendPace sends what the backend server is measured to sustain.
+func (path *packetPath) sendPace(pace passthrough.Pace, to []netip.AddrPort) {
+	datagram := hop.AppendPace(nil, pace)
+	for _, entry := range to {
+		path.sendToEntry(datagram, entry)
+	}
+}
+
 // requestProbe makes the control goroutine probe the backend server.
 func (path *packetPath) requestProbe() {
 	err := path.companion.loop.Post(responseOverdue{})
@@ -231,10 +271,12 @@
 			path.sendNote(a)
 		case gate.AnswerSurvey:
 			path.meter.Send(path.companion.peers, hop.EncodeSurveyAnswer(a.SurveyNumber), a.To)
-		case gate.Drop:
+		case gate.Queue, gate.Drop:
 		}
 		path.logAction(now, a)
+		path.recordQueue(now, a)
 	}
+	path.queue.length.Update(int64(path.gate.Queued()))
 }
 
 // requestBegan records the identity of a request for later log lines about its flow.
@@ -244,7 +286,7 @@
 		clear(path.requests)
 	}
 	path.requests[a.Packet.Key] = request
-	leftOut, ok := path.requestLimit.Allow(now)
+	leftOut, ok := path.requestLimit.Allow(now, asynclog.Cause{Line: "request delivered", Outcome: "delivered", Reason: a.Reason.String()})
 	if ok {
 		path.log.Info("request delivered", "request", request, "flow", a.Packet.Key, "server", path.state.target.Server,
 			"running", path.gate.Running(), "slots", path.state.target.Slots, "version", path.gate.Version(), "linesLeftOut", leftOut)
@@ -263,7 +305,7 @@
 	if route == nil || took <= route.Objective {
 		return
 	}
-	leftOut, ok := path.lateLimit.Allow(path.now)
+	leftOut, ok := path.lateLimit.Allow(path.now, asynclog.Cause{Line: "request answered late", Outcome: "answered"})
 	if ok {
 		path.log.Warn("request answered late", "request", request, "flow", key, "took", took, "objective", route.Objective,
 			"server", path.state.target.Server, "running", path.gate.Running(), "slots", path.state.target.Slots, "linesLeftOut", leftOut)
@@ -297,14 +339,14 @@
 	switch {
 	case a.Kind == gate.Deliver && a.Reason == passthrough.ReasonRequest:
 		path.requestBegan(now, a)
-	case a.Kind == gate.SendNote && a.Note.Kind == passthrough.NoteAdmitted:
-		leftOut, ok := path.admittedLimit.Allow(now)
+	case a.Kind == gate.SendNote && a.Note.Kind == passthrough.NoteAdmitted && a.Reason == passthrough.ReasonAdmitted:
+		leftOut, ok := path.admittedLimit.Allow(now, asynclog.Cause{Line: "flow admitted", Outcome: "admitted", Reason: a.Reason.String()})
 		if ok {
 			path.log.Info("flow admitted", "flow", a.Note.Key, "entry", a.To, "server", path.state.target.Server, "running", a.Note.Running,
 				"flows", a.Note.Flows, "announcementAge", now.Sub(path.state.target.LastSeen), "version", path.gate.Version(), "linesLeftOut", leftOut)
 		}
 	case a.Kind == gate.Refuse || a.Kind == gate.NotHeld || a.Kind == gate.Reset:
-		leftOut, ok := path.failedLimit.Allow(now)
+		leftOut, ok := path.failedLimit.Allow(now, asynclog.Cause{Line: "packet not delivered", Outcome: outcome(a.Kind), Reason: a.Reason.String()})
 		if ok {
 			path.log.Warn("packet not delivered", "flow", a.Packet.Key, "request", path.requests[a.Packet.Key], "flags", a.Packet.Flags, "entry", a.To,
 				"reset", a.Kind == gate.Reset, "reason", a.Reason, "server", path.state.target.Server,
@@ -312,3 +354,15 @@
 		}
 	}
 }
+
+// outcome names what was done with a packet that wasn't delivered.
+func outcome(kind gate.Kind) string {
+	switch kind {
+	case gate.Reset:
+		return "reset"
+	case gate.NotHeld:
+		return "not held"
+	default:
+		return "refused"
+	}
+}
--- a/roles/entry/entry.go
+++ b/roles/entry/entry.go
@@ -55,9 +55,13 @@
 	// Network is what this instance may send a second, and receive, in bytes; zero if
 	// unknown.
 	Network int
-	Codec   traffic.Codec
-	Log     *slog.Logger
-	Metrics metrics.Registry
+	// PlanLeaving makes the instance plan which flows leave its data centre. LeavingCost
+	// is the time that an answer must gain by that.
+	PlanLeaving bool
+	LeavingCost time.Duration
+	Codec       traffic.Codec
+	Log         *slog.Logger
+	Metrics     metrics.Registry
 }
 
 // Entry is one entry instance.
@@ -71,6 +75,7 @@
 	// companionCount is the number of companions that the packet path tracks.
 	companionCount atomic.Int64
 	stopping       atomic.Bool
+	questions      chan question
 }
 
 // New opens the sockets. They buffer packets until Run is called.
@@ -86,8 +91,9 @@
 	}
 	return &Entry{
 		config: config, callers: callers, peers: peers,
-		loop:  loop.New[event](mailboxSize),
-		lines: asynclog.New(config.Log.Handler(), logQueueLength),
+		loop:      loop.New[event](mailboxSize),
+		lines:     asynclog.New(config.Log.Handler(), logQueueLength),
+		questions: make(chan question, maxQuestions),
 	}, nil
 }
 
