Keep a reserve of further tries for urgent flows; don't tell servers apart by milliseconds

TestFlowsSurvivePlannedChanges: of four servers one got all flows, since with requests of a millisecond the mean run times differ by more than the factor for equal servers.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -147,3 +147,12 @@
 		})
 	}
 }
+
+// Servers with requests of about a millisecond are equal for callers. All flows went to
+// the one whose mean happened to be lowest.
+func TestShortRunTimesDoNotTellServersApart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fast := capacity.Server{Slots: 4, Run: time.Millisecond, Interval: 200 * time.Microsecond}.Assume(time.Millisecond)
+	slow := capacity.Server{Slots: 4, Run: 4 * time.Millisecond, Interval: time.Millisecond}.Assume(time.Millisecond)
+	g.Expect(slow.MeanTime(2)).To(gomega.Equal(fast.MeanTime(2)))
+}
--- a/capacity/server.go
+++ b/capacity/server.go
@@ -12,6 +12,10 @@
 	// requests of equal servers differ by up to 1.5 when 3% of the requests take 7 times
 	// as long.
 	sameRunFactor = 1.5
+	// sameRunDifference is a difference between run times that callers don't notice. With
+	// requests of a millisecond the means of equal servers differ by more than the factor,
+	// and all flows went to one of four.
+	sameRunDifference = 5 * time.Millisecond
 	// countVariance is how far the number of requests found on arrival varies about the
 	// load, in requests squared. It gives the expected wait of Poisson arrivals at four
 	// slots within 0.15 of a request.
@@ -38,19 +42,21 @@
 	if median <= 0 {
 		return s
 	}
-	if s.Run <= 0 || same(s.Run, median) {
+	if s.Run <= 0 || same(s.Run, median, sameRunDifference) {
 		s.Run = median
 	}
-	typical := s.Run / time.Duration(max(s.Slots, 1))
-	if s.Interval <= 0 || same(s.Interval, typical) {
+	slots := time.Duration(max(s.Slots, 1))
+	typical := s.Run / slots
+	if s.Interval <= 0 || same(s.Interval, typical, sameRunDifference/slots) {
 		s.Interval = typical
 	}
 	return s
 }
 
-func same(a, b time.Duration) bool {
-	low, high := float64(min(a, b)), float64(max(a, b))
-	return high <= sameRunFactor*low
+// same reports whether two times differ by little enough to be those of equal servers.
+func same(a, b, difference time.Duration) bool {
+	low, high := min(a, b), max(a, b)
+	return float64(high) <= sameRunFactor*float64(low) || high-low <= difference
 }
 
 // interval returns the time between two answers while all slots are taken, zero if it
--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -332,7 +332,7 @@
 		d.reset(p, passthrough.ReasonNoRoute)
 		return d.out
 	}
-	if reason == passthrough.ReasonBusy && !d.retries.take() {
+	if reason == passthrough.ReasonBusy && !d.retries.take(passthrough.UrgencyOf(p, r)) {
 		d.applyOpening(now, p, flow, d.judgeExhausted(now, p, flow, true))
 		return d.out
 	}
--- a/passthrough/dispatch/waiting.go
+++ b/passthrough/dispatch/waiting.go
@@ -89,7 +89,7 @@
 		return cmp.Or(b.since.Compare(a.since), cmp.Compare(hashOf(a.packet.Key), hashOf(b.packet.Key)))
 	})
 	for i := range busy[:min(len(busy), d.readySlots(now))] {
-		if busy[i].reason == passthrough.ReasonBusy && !d.retries.take() {
+		if busy[i].reason == passthrough.ReasonBusy && !d.retries.take(d.urgencyOf(&busy[i].packet)) {
 			continue
 		}
 		d.openingPacket(now, &busy[i].packet)
@@ -102,6 +102,15 @@
 	return reason == passthrough.ReasonBusy || reason == passthrough.ReasonFull
 }
 
+// urgencyOf returns the urgency of an opening packet, the lowest without a route.
+func (d *Dispatcher) urgencyOf(p *passthrough.Packet) passthrough.Urgency {
+	r := d.routeOf(p.Key)
+	if r == nil {
+		return passthrough.UrgencyRepeated
+	}
+	return passthrough.UrgencyOf(p, r)
+}
+
 // readySlots returns how many slots the companions have that admit new flows.
 func (d *Dispatcher) readySlots(now time.Time) int {
 	slots := 0
