--- a/passthrough/dispatch/retry.go
+++ b/passthrough/dispatch/retry.go
@@ -4,9 +4,9 @@
 
 const (
 	// retryShare is how many further tries are earned by each opening packet that is tried
-	// at a first companion. Each admitted flow earns one. When a whole service is full, up to six tries for
-	// each packet took all the processor time of the entry instances, and with it the
-	// packets of flows that had been admitted.
+	// at a first companion. Each admitted flow earns one. When a whole service is full, up to
+	// six tries for each packet took all the processor time of the entry instances, and with
+	// it the packets of flows that had been admitted.
 	retryShare = 0.2
 	// retryBurst is how many further tries may be saved up: about as many flows as an entry
 	// instance gets at once when all callers return after an outage.
