Decide about waiting packets by urgency and time waited

Cause: with the first view after an outage each entry instance sent on 500 waiting packets in any order; nine in ten were refused, and copies whose callers had waited too long took the room of those who could be answered in time. Change: waiting packets of every kind are ordered by urgency and by the time that their callers have waited, and as many are tried at once as all slots could take. TestPacketsOfCallersThatHaveWaitedLeastAreTriedFirst fails without it.

--- a/passthrough/dispatch/full.go
+++ b/passthrough/dispatch/full.go
@@ -20,12 +20,11 @@
 
 // elapsed returns how long the caller of an opening packet has waited at least.
 func (d *Dispatcher) elapsed(now time.Time, p *passthrough.Packet) time.Duration {
-	elapsed := copyTimes[min(p.Ack, callerCopies)]
 	w, waits := d.waiting[p.Key]
 	if waits && w.packet.Ack == p.Ack {
-		elapsed += now.Sub(w.since)
+		return w.elapsed(now)
 	}
-	return elapsed
+	return copyTimes[min(p.Ack, callerCopies)]
 }
 
 // noRoom returns the figures by which no backend server that the flow may use can start it
--- a/passthrough/dispatch/waiting.go
+++ b/passthrough/dispatch/waiting.go
@@ -21,6 +21,9 @@
 	// fullRetry is the same for a flow for which no backend server had room by its state,
 	// so that it is decided again at each call of Continue.
 	fullRetry = 40 * time.Millisecond
+	// minRetries is how many packets are decided about at once although no companion is
+	// ready: their callers are told.
+	minRetries = 16
 	// settleTime is how long an entry instance waits for the statuses that it has
 	// requested at its start, unless settledShare of them have come.
 	settleTime   = 60 * time.Millisecond
@@ -63,14 +66,15 @@
 	}
 }
 
-// retryWaiting decides about the opening packets that wait, if it can be done by now. Of
-// those that were refused by busy companions it tries again what all slots could take,
-// the newest first: their answers may still come in time.
+// retryWaiting decides about the opening packets that wait, if it can be done by now. It
+// tries at once what all slots could take, by urgency and then first those whose callers have
+// waited least: their answers may still come in time. After an outage most of those that wait
+// have been abandoned, and in any order nine in ten were refused.
 func (d *Dispatcher) retryWaiting(now time.Time) {
 	if !d.settled(now) {
 		return
 	}
-	var busy []waitingPacket
+	var due []waitingPacket
 	for key, w := range d.waiting {
 		switch {
 		case now.Sub(w.since) > waitLimit:
@@ -79,27 +83,28 @@
 				d.drop(&w.packet, w.reason)
 			}
 		case w.tried || now.Before(w.retryAt):
-		case waitsForRoom(w.reason):
-			busy = append(busy, w)
 		default:
-			d.openingPacket(now, &w.packet)
+			due = append(due, w)
 		}
 	}
-	slices.SortFunc(busy, func(a, b waitingPacket) int {
-		return cmp.Or(b.since.Compare(a.since), cmp.Compare(hashOf(a.packet.Key), hashOf(b.packet.Key)))
+	slices.SortFunc(due, func(a, b waitingPacket) int {
+		return cmp.Or(
+			cmp.Compare(d.urgencyOf(&b.packet), d.urgencyOf(&a.packet)),
+			cmp.Compare(a.elapsed(now), b.elapsed(now)),
+			cmp.Compare(hashOf(a.packet.Key), hashOf(b.packet.Key)),
+		)
 	})
-	for i := range busy[:min(len(busy), d.readySlots(now))] {
-		if busy[i].reason == passthrough.ReasonBusy && !d.retries.take(d.urgencyOf(&busy[i].packet)) {
+	for i := range due[:min(len(due), max(d.readySlots(now), minRetries))] {
+		if due[i].reason == passthrough.ReasonBusy && !d.retries.take(d.urgencyOf(&due[i].packet)) {
 			continue
 		}
-		d.openingPacket(now, &busy[i].packet)
+		d.openingPacket(now, &due[i].packet)
 	}
 }
 
-// waitsForRoom reports whether a packet that waits for the reason waits until a backend
-// server has room.
-func waitsForRoom(reason passthrough.Reason) bool {
-	return reason == passthrough.ReasonBusy || reason == passthrough.ReasonFull
+// elapsed returns how long the caller of the packet has waited at least.
+func (w *waitingPacket) elapsed(now time.Time) time.Duration {
+	return copyTimes[min(w.packet.Ack, callerCopies)] + now.Sub(w.since)
 }
 
 // urgencyOf returns the urgency of an opening packet, the lowest without a route.
--- a/passthrough/waiting_test.go
+++ b/passthrough/waiting_test.go
@@ -97,3 +97,34 @@
 	}
 	g.Expect(tries).To(gomega.And(gomega.BeNumerically(">=", 2), gomega.BeNumerically("<=", 5)))
 }
+
+// After an outage hundreds of packets waited for the first view, most of them copies whose
+// callers had waited too long. They were tried in any order and took the room of those
+// whose answers could still come in time.
+func TestPacketsOfCallersThatHaveWaitedLeastAreTriedFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := dispatch.New(start, "north")
+	for port := 1; port <= 200; port++ {
+		p := syn(port)
+		if port%2 == 0 {
+			p.Ack = 2
+		}
+		g.Expect(targets(d.Handle(start, p), dispatch.Forward)).To(gomega.BeEmpty())
+	}
+	d.SetTable(table(1))
+	for i := 1; i <= 10; i++ {
+		d.HandleStatus(start, statusOf(i))
+	}
+	d.Continue(start)
+	var tried []int
+	for _, a := range d.Continue(start.Add(200 * time.Millisecond)) {
+		if a.Kind == dispatch.Forward {
+			tried = append(tried, int(a.Packet.Key.Caller.Port()))
+		}
+	}
+	g.Expect(tried).NotTo(gomega.BeEmpty())
+	g.Expect(len(tried)).To(gomega.BeNumerically("<=", 40), "the slots of ten servers")
+	for _, port := range tried {
+		g.Expect(port%2).To(gomega.Equal(1), "a copy was tried before a first packet")
+	}
+}
