Name the kinds of a dispatcher's actions by kind, not by position

Cause: two branches added to dispatch.Kind at once; Relay and Check had no names, so that String named a reset drop and panicked for a packet that waits. zinniapulley explain prints it. Ruled out: the packet path, which compares kinds and never prints them. Change: the names are listed by kind; an unknown value is named so. Result: TestEachKindHasItsOwnName fails without the change and passes with it.

--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -64,9 +64,17 @@
 	Drop
 )
 
+var kindNames = [Drop + 1]string{
+	0: "none", Forward: "forward", Lookup: "lookup", Query: "query", Survey: "survey", Relay: "relay", Check: "check",
+	RequestStatus: "request status", Reset: "reset", Wait: "wait", Drop: "drop",
+}
+
 // String returns the kind in words.
 func (k Kind) String() string {
-	return [...]string{"none", "forward", "lookup", "query", "survey", "request status", "reset", "wait", "drop"}[min(k, Drop)]
+	if k > Drop {
+		return "unknown"
+	}
+	return kindNames[k]
 }
 
 // Action is one action on a packet.
