Keep the times of a caller's copies, the start check and surveys in one place each

Cause: reading the change again found copies of code. gate and dispatch each listed when a caller sends its copies; offer and noRoom checked the same servers with the same lines; surveys and relays began alike; retryWaiting looked up the route of each packet at every comparison, HandleRefused looked up route and companion twice. Change: Packet.WaitedWhenSent, mayStart, conduct, dueRetry; behaviour and tests as before. The choice of a server wasn't touched here.

--- a/passthrough/dispatch/dispatcher.go
+++ b/passthrough/dispatch/dispatcher.go
@@ -22,9 +22,6 @@
 	cacheIdle = 25 * time.Second
 	// closedIdle replaces cacheIdle once the caller has closed its side.
 	closedIdle = 3 * time.Second
-	// callerCopies is how many copies of an opening packet a caller sends. The
-	// acknowledgement field of each holds its number.
-	callerCopies = 2
 	// startGrace is how long after its start an entry instance may have received no
 	// status from some companions: three status intervals, and the time until control
 	// lists the instance to companions. An opening packet without a candidate waits
@@ -314,16 +311,20 @@
 // admitting it. The result is valid until the next call of a method.
 func (d *Dispatcher) HandleRefused(now time.Time, from netip.AddrPort, reason passthrough.Reason, p *passthrough.Packet) []Action {
 	d.out = d.out[:0]
-	if c, known := d.companions[from]; known {
+	c, tracked := d.companions[from]
+	if tracked {
 		c.unansweredSince = time.Time{}
 	}
 	flow, known := d.flows[p.Key]
 	if !known || flow.owner.IsValid() || d.table == nil {
 		return d.out
 	}
+	r := d.table.Route(p.Key.Service)
 	if reason == passthrough.ReasonBusy {
 		flow.busy = true
-		d.refusedBusy(now, from, p)
+		if tracked && r != nil {
+			c.refusedBusy(now, passthrough.UrgencyOf(p, r))
+		}
 	}
 	d.measureWay(now, from, flow)
 	for i := range flow.attempts {
@@ -334,7 +335,6 @@
 	if d.activeCompanion(now, flow).IsValid() {
 		return d.out
 	}
-	r := d.table.Route(p.Key.Service)
 	if r == nil {
 		d.remove(p.Key, flow)
 		d.reset(p, passthrough.ReasonNoRoute)
@@ -348,15 +348,6 @@
 	return d.out
 }
 
-// refusedBusy records that a companion has refused the flow for want of time.
-func (d *Dispatcher) refusedBusy(now time.Time, from netip.AddrPort, p *passthrough.Packet) {
-	c, known := d.companions[from]
-	r := d.table.Route(p.Key.Service)
-	if known && r != nil {
-		c.refusedBusy(now, passthrough.UrgencyOf(p, r))
-	}
-}
-
 // HandleNotHeld handles a packet that a companion returned because its backend
 // server doesn't hold the flow. The result is valid until the next call of a method.
 func (d *Dispatcher) HandleNotHeld(now time.Time, from netip.AddrPort, p *passthrough.Packet) []Action {
--- a/passthrough/dispatch/estimate.go
+++ b/passthrough/dispatch/estimate.go
@@ -178,8 +178,8 @@
 	state := c.service
 	s := c.server(state.run)
 	// The requests that were running at the report are replaced by others, of which there
-	// are as many as elsewhere in the data centre. Without that, all entry instances send flows to a server
-	// that had few requests at its last report.
+	// are as many as elsewhere in the data centre. Without that, all entry instances send
+	// flows to a server that had few requests at its last report.
 	age := float64(now.Sub(c.loadAt))
 	replaced := age / (age + float64(s.ExpectedTime(0)))
 	running := float64(s.Running) + replaced*(c.site.perSlot()*float64(s.Slots)-float64(s.Running))
--- a/passthrough/dispatch/full.go
+++ b/passthrough/dispatch/full.go
@@ -15,31 +15,23 @@
 // Its caller may have better luck elsewhere, or give up, and is to be told soon.
 const holdShare = 0.25
 
-// copyTimes is how long after its first opening packet a caller sends each copy.
-var copyTimes = [callerCopies + 1]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
-
 // elapsed returns how long the caller of an opening packet has waited at least.
 func (d *Dispatcher) elapsed(now time.Time, p *passthrough.Packet) time.Duration {
 	w, waits := d.waiting[p.Key]
 	if waits && w.packet.Ack == p.Ack {
 		return w.elapsed(now)
 	}
-	return copyTimes[min(p.Ack, callerCopies)]
+	return p.WaitedWhenSent()
 }
 
 // noRoom returns the figures by which no backend server that the flow may use can start it
 // in time, nil if one may. best is the choice, which is usually enough to tell.
 func (d *Dispatcher) noRoom(now time.Time, p *passthrough.Packet, flow *cachedFlow, r *route.Route, best *companion) *capacity.Room {
-	if r.Objective <= 0 || best.service.run == 0 || d.paused(now) {
+	if d.mayStart(now, p, r, best) {
 		return nil
 	}
 	request := d.requestOf(now, p, r)
 	var room capacity.Room
-	d.addRoom(now, &room, request, best)
-	if !room.None() {
-		return nil
-	}
-	room = capacity.Room{}
 	for _, share := range r.Shares {
 		state := d.byService[share.Service]
 		if share.Weight <= 0 || state == nil {
@@ -63,6 +55,17 @@
 	return &figures
 }
 
+// mayStart reports whether, as far as is known, the companion's backend server can start an
+// opening packet's request in time.
+func (d *Dispatcher) mayStart(now time.Time, p *passthrough.Packet, r *route.Route, c *companion) bool {
+	if r.Objective <= 0 || c.service.run == 0 || d.paused(now) {
+		return true
+	}
+	var room capacity.Room
+	d.addRoom(now, &room, d.requestOf(now, p, r), c)
+	return !room.None()
+}
+
 // requestOf returns what the decision about an opening packet's request depends on.
 func (d *Dispatcher) requestOf(now time.Time, p *passthrough.Packet, r *route.Route) capacity.Request {
 	return capacity.Request{Objective: r.Objective, Timeout: r.Timeout, Elapsed: d.elapsed(now, p), Urgent: passthrough.Urgent(r)}
@@ -100,7 +103,7 @@
 
 // keepForRoom reports whether the packet is kept until a backend server may have room.
 func (d *Dispatcher) keepForRoom(now time.Time, p *passthrough.Packet, r *route.Route, room *capacity.Room) bool {
-	if p.Ack >= callerCopies || !room.MayCome() {
+	if p.Ack >= passthrough.CallerCopies || !room.MayCome() {
 		return false
 	}
 	w, waits := d.waiting[p.Key]
--- a/passthrough/dispatch/locality.go
+++ b/passthrough/dispatch/locality.go
@@ -236,15 +236,7 @@
 // canServe reports whether the best of the companions is in good health and, as far as is
 // known, can start the flow in time.
 func (d *Dispatcher) canServe(now time.Time, p *passthrough.Packet, r *route.Route, o offered) bool {
-	if o.best == nil || o.load >= stalePenalty {
-		return false
-	}
-	if r.Objective <= 0 || o.best.service.run == 0 || d.paused(now) {
-		return true
-	}
-	var room capacity.Room
-	d.addRoom(now, &room, d.requestOf(now, p, r), o.best)
-	return !room.None()
+	return o.best != nil && o.load < stalePenalty && d.mayStart(now, p, r, o.best)
 }
 
 // placementOf returns the placement of a flow at the companion.
--- a/passthrough/dispatch/opening.go
+++ b/passthrough/dispatch/opening.go
@@ -73,7 +73,7 @@
 	if outstanding {
 		return v
 	}
-	if busy && p.Ack < callerCopies {
+	if busy && p.Ack < passthrough.CallerCopies {
 		// There may be room soon, and the caller still waits.
 		return verdict{kind: Wait, reason: passthrough.ReasonBusy, ended: true}
 	}
--- a/passthrough/dispatch/survey.go
+++ b/passthrough/dispatch/survey.go
@@ -23,8 +23,8 @@
 }
 
 // planSurveys plans that one companion of each data centre queries the others there, and
-// that they are queried directly where too few are asked. companions are in the flow's order, so that each
-// flow's surveys are conducted by others.
+// that they are queried directly where too few are asked. companions are in the flow's
+// order, so that each flow's surveys are conducted by others.
 func (d *Dispatcher) planSurveys(now time.Time, key core.FlowKey, l *flowLookup, companions []*companion) {
 	for _, group := range groupCompanions(companions, true) {
 		for part := range slices.Chunk(group, maxSurveyed) {
--- a/passthrough/dispatch/waiting.go
+++ b/passthrough/dispatch/waiting.go
@@ -40,6 +40,13 @@
 	tried bool
 }
 
+// dueRetry is a waiting packet that is due, with what it is ordered by.
+type dueRetry struct {
+	waitingPacket
+	urgency passthrough.Urgency
+	waited  time.Duration
+}
+
 // wait keeps an opening packet that can't be decided about yet, or that no backend
 // server had room for. After an outage all callers return at once; one whose packet is
 // dropped would lose the time until its next copy, and after the last one much more.
@@ -74,7 +81,7 @@
 	if !d.settled(now) {
 		return
 	}
-	var due []waitingPacket
+	var due []dueRetry
 	for key, w := range d.waiting {
 		switch {
 		case now.Sub(w.since) > waitLimit:
@@ -84,18 +91,18 @@
 			}
 		case w.tried || now.Before(w.retryAt):
 		default:
-			due = append(due, w)
+			due = append(due, dueRetry{waitingPacket: w, urgency: d.urgencyOf(&w.packet), waited: w.elapsed(now)})
 		}
 	}
-	slices.SortFunc(due, func(a, b waitingPacket) int {
+	slices.SortFunc(due, func(a, b dueRetry) int {
 		return cmp.Or(
-			cmp.Compare(d.urgencyOf(&b.packet), d.urgencyOf(&a.packet)),
-			cmp.Compare(a.elapsed(now), b.elapsed(now)),
+			cmp.Compare(b.urgency, a.urgency),
+			cmp.Compare(a.waited, b.waited),
 			cmp.Compare(hashOf(a.packet.Key), hashOf(b.packet.Key)),
 		)
 	})
 	for i := range due[:min(len(due), max(d.readySlots(now), minRetries))] {
-		if due[i].reason == passthrough.ReasonBusy && !d.retries.take(d.urgencyOf(&due[i].packet)) {
+		if due[i].reason == passthrough.ReasonBusy && !d.retries.take(due[i].urgency) {
 			continue
 		}
 		d.openingPacket(now, &due[i].packet)
@@ -104,7 +111,7 @@
 
 // elapsed returns how long the caller of the packet has waited at least.
 func (w *waitingPacket) elapsed(now time.Time) time.Duration {
-	return copyTimes[min(w.packet.Ack, callerCopies)] + now.Sub(w.since)
+	return w.packet.WaitedWhenSent() + now.Sub(w.since)
 }
 
 // urgencyOf returns the urgency of an opening packet, the lowest without a route.
--- a/passthrough/gate/queue.go
+++ b/passthrough/gate/queue.go
@@ -20,10 +20,6 @@
 	gapShare = 1. / 6
 )
 
-// copyDelays holds, by the number of a copy of an opening packet, how long its caller has
-// waited when it sends the copy.
-var copyDelays = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
-
 // queuedPacket is an opening packet that waits for a place, its newest copy.
 type queuedPacket struct {
 	packet passthrough.Packet
@@ -33,11 +29,6 @@
 	version uint64
 }
 
-// waitedOf returns the minimum time that the caller of an opening packet has waited.
-func waitedOf(p *passthrough.Packet) time.Duration {
-	return copyDelays[min(p.Ack, uint32(len(copyDelays)-1))]
-}
-
 // Queued returns how many opening packets wait for a place.
 func (g *Gate) Queued() int { return g.queue.Len() }
 
@@ -98,7 +89,7 @@
 			return false
 		}
 	}
-	request := waitqueue.Request{Key: p.Key, Origin: entry, Arrived: now, Elapsed: waitedOf(p)}
+	request := waitqueue.Request{Key: p.Key, Origin: entry, Arrived: now, Elapsed: p.WaitedWhenSent()}
 	g.describe(&request)
 	verdict, order := g.queue.Offer(now, request, room)
 	switch verdict {
@@ -159,7 +150,7 @@
 		// has waited.
 		waiting.packet = p.Clone()
 	}
-	g.queue.Repeated(now, p.Key, waitedOf(p))
+	g.queue.Repeated(now, p.Key, p.WaitedWhenSent())
 	g.act(Drop, passthrough.ReasonQueued, p)
 	g.note(passthrough.NoteAdmitted, passthrough.ReasonQueued, p.Key, entry)
 	return true
--- a/roles/companion/relay.go
+++ b/roles/companion/relay.go
@@ -20,15 +20,11 @@
 		return err
 	}
 	path.reports.HandlePacket(now, d.From, false)
-	query, begun := path.surveys.Begin(now, d.From, passthrough.Survey{Number: relay.Number, Key: packet.Key, Ask: relay.Ask})
-	if !begun {
-		path.log.Warn("survey not conducted, too many under way", "flow", packet.Key, "entry", d.From)
-		return nil
-	}
-	path.buffer = hop.AppendRelayedCopy(path.buffer[:0], passthrough.RelayedCopy{Number: query.Number, Entry: d.From, Packet: relay.Packet})
-	for _, at := range relay.Ask {
-		path.meter.Send(path.companion.peers, path.buffer, at)
-	}
+	survey := passthrough.Survey{Number: relay.Number, Key: packet.Key, Ask: relay.Ask}
+	path.conduct(now, d.From, survey, func(query passthrough.SurveyQuery) []byte {
+		path.buffer = hop.AppendRelayedCopy(path.buffer[:0], passthrough.RelayedCopy{Number: query.Number, Entry: d.From, Packet: relay.Packet})
+		return path.buffer
+	})
 	return nil
 }
 
--- a/roles/companion/survey.go
+++ b/roles/companion/survey.go
@@ -1,8 +1,10 @@
 package companion
 
 import (
+	"net/netip"
 	"time"
 
+	"zinniapulley.dev/passthrough"
 	"zinniapulley.dev/passthrough/gate"
 	"zinniapulley.dev/roles/traffic"
 	"zinniapulley.dev/wire/hop"
@@ -17,15 +19,7 @@
 		if err != nil {
 			return err
 		}
-		query, begun := path.surveys.Begin(now, d.From, survey)
-		if !begun {
-			path.log.Warn("survey not conducted, too many under way", "flow", survey.Key, "entry", d.From)
-			return nil
-		}
-		datagram := hop.EncodeSurveyQuery(query)
-		for _, at := range survey.Ask {
-			path.meter.Send(path.companion.peers, datagram, at)
-		}
+		path.conduct(now, d.From, survey, hop.EncodeSurveyQuery)
 	case hop.KindSurveyQuery:
 		query, err := hop.DecodeSurveyQuery(d.Data)
 		if err != nil {
@@ -46,6 +40,20 @@
 	return nil
 }
 
+// conduct begins a survey for an entry instance and sends each companion to ask the message
+// that encode returns for the survey's query.
+func (path *packetPath) conduct(now time.Time, entry netip.AddrPort, survey passthrough.Survey, encode func(passthrough.SurveyQuery) []byte) {
+	query, begun := path.surveys.Begin(now, entry, survey)
+	if !begun {
+		path.log.Warn("survey not conducted, too many under way", "flow", survey.Key, "entry", entry)
+		return
+	}
+	datagram := encode(query)
+	for _, at := range survey.Ask {
+		path.meter.Send(path.companion.peers, datagram, at)
+	}
+}
+
 func (path *packetPath) sendResult(finished gate.FinishedSurvey) {
 	datagram, err := hop.EncodeSurveyResult(finished.Result)
 	if err != nil {
