--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -43,6 +43,8 @@
 	// resetAt is when the system reset the flow, zero if it didn't.
 	resetAt time.Time
 	reset   chan struct{}
+	// closed is set once the target has closed the flow.
+	closed bool
 }
 
 func (d *deployment) newClient(zone string) (*client, error) {
@@ -80,6 +82,9 @@
 			c.lock.Unlock()
 			continue
 		}
+		if p[offsetFlags]&flagFin != 0 {
+			f.closed = true
+		}
 		if systemReset && f.open {
 			distance := int32(seqOf(p) - f.ack)
 			if distance > 76800 || distance < -76800 {
@@ -237,6 +242,13 @@
 	return false
 }
 
+// isClosed reports whether the target has closed the flow.
+func (f *flow) isClosed() bool {
+	f.c.lock.Lock()
+	defer f.c.lock.Unlock()
+	return f.closed
+}
+
 // finish closes the flow from the client's side.
 func (f *flow) finish() {
 	f.transmit(packet(f.key.client, f.key.route, flagAck|flagFin, f.seq, f.ack, nil))
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -243,6 +243,11 @@
 	flow.sent += uint32(len(data))
 	flow.unacked, flow.unackedEnd = p, flow.sent
 	t.send(p)
+	if t.state == "draining" {
+		// A draining target closes each flow after its next response.
+		t.d.record("target %s closes flow %s", t.id, key)
+		t.send(packet(key.route, key.client, flagAck|flagFin, flow.sent, flow.next, nil))
+	}
 	t.repeat(key, flow, p, 200*time.Millisecond, 8)
 }
 
