Use loopback addresses for the routes of the review's cases

Cause: the stand-ins named routes by addresses of 198.18.0.0/24. Nothing was sent there, since they stand in packets' headers and configurations only, but every address of a case has to be a loopback address. Change: the routes have addresses of 127.1.0.0/24; no other address is left.

--- a/review/standin/log.go
+++ b/review/standin/log.go
@@ -14,7 +14,7 @@
 const propagationBound = 3 * time.Second
 
 // addedRoute is a route that only the last configuration has.
-var addedRoute = netip.MustParseAddrPort("198.18.0.9:443")
+var addedRoute = netip.MustParseAddrPort("127.1.0.9:443")
 
 func init() { cases["stalled-log"] = stalledLog }
 
--- a/review/standin/standard.go
+++ b/review/standin/standard.go
@@ -10,8 +10,8 @@
 )
 
 var (
-	feedRoute  = netip.MustParseAddrPort("198.18.0.1:443")
-	orderRoute = netip.MustParseAddrPort("198.18.0.1:8443")
+	feedRoute  = netip.MustParseAddrPort("127.1.0.1:443")
+	orderRoute = netip.MustParseAddrPort("127.1.0.1:8443")
 )
 
 // standardRoutes are the routes that all cases begin with.
