Reject announcements that can't be of the companion's backend server

Cause: a companion took every readable announcement with a later start as the successor of its backend server, whatever its service, address or data centre, and resets the flows of a predecessor at once. The server's own announcements then counted as outdated.

Evidence: in the log of the case, 'backend server announced' with the service no-such-service, 51 ms later one reset for each of the 15 flows, then three rejected announcements of the true server. Ruled out: flow checks by entry instances (the resets are the companion's) and a refused connection to the health port (not logged).

Change: the registration rejects an announcement with another address or data centre than its server's, or of a service that the configuration doesn't name and no remaining route named before. Before the first configuration the service can't be checked: then no running server is replaced, and one whose service turns out unknown is forgotten, without counting as a predecessor. Rejections are logged with what was known, and counted.

--- a/passthrough/dispatcher_test.go
+++ b/passthrough/dispatcher_test.go
@@ -43,7 +43,7 @@
 			Name: "r", Address: address, Timeout: time.Second, Objective: 100 * time.Millisecond, Priority: 2,
 			Shares: []route.Share{{Service: "feed", Weight: 1}}, Former: []core.ServiceName{"old"},
 		}},
-		Services: []route.Service{{Name: "feed", MaxConnections: 5, ColdFor: 2 * time.Second, ColdRate: 2}},
+		Services: []route.Service{{Name: "feed", MaxConnections: 5, ColdFor: 2 * time.Second, ColdRate: 2}, {Name: "other"}},
 	})
 }
 
--- a/passthrough/ended_test.go
+++ b/passthrough/ended_test.go
@@ -61,7 +61,7 @@
 // whose backend server has started since.
 func TestCompanionWithoutARunningServerTracksAllFlows(t *testing.T) {
 	b := newHarness(t)
-	b.registration = gate.NewRegistration(start, gateConfig().AnnouncementLimit)
+	b.registration = newRegistration(start)
 	b.gate = gate.New(b.now, gateConfig())
 	b.gate.SetTable(b.now, table(1))
 	b.expect(b.gate.HandleQuery(b.now, entryAt, flowKey(1)), gate.SendNote, passthrough.ReasonUnknownFlow)
@@ -90,7 +90,7 @@
 // counted as not running, and its flows were reset (soak, seed 444).
 func TestReachableBackendServerMayHoldFlows(t *testing.T) {
 	b := newHarness(t)
-	b.registration = gate.NewRegistration(start, gateConfig().AnnouncementLimit)
+	b.registration = newRegistration(start)
 	b.gate = gate.New(b.now, gateConfig())
 	b.gate.SetTable(b.now, table(1))
 	b.advance(time.Millisecond)
@@ -133,7 +133,7 @@
 				b.send(syn(1))
 				b.now = opened.Add(c.announced)
 			}
-			b.announce(gate.Announcement{Server: "b2", Service: "feed", Born: opened.Add(c.started).UnixMilli(), Number: c.number, Slots: 2})
+			b.announce(gate.Announcement{Server: "b2", Service: "feed", Address: serverAt, DataCentre: "north", Born: opened.Add(c.started).UnixMilli(), Number: c.number, Slots: 2})
 			resets := 0
 			for _, a := range b.gate.ResetFlows() {
 				if a.Kind == gate.Reset {
--- a/passthrough/gate/registration.go
+++ b/passthrough/gate/registration.go
@@ -1,17 +1,49 @@
 package gate
 
-import "time"
+import (
+	"errors"
+	"net/netip"
+	"time"
+
+	"zinniapulley.dev/core"
+	"zinniapulley.dev/route"
+)
+
+// Errors of announcements that are rejected. The backend server known before stays.
+var (
+	// ErrOutdated rejects an announcement of an earlier start, or one that a later one
+	// has overtaken.
+	ErrOutdated = errors.New("a later start or announcement is known here")
+	// ErrOtherPlace rejects one that names another address or data centre.
+	ErrOtherPlace = errors.New("the address or data centre is not that of the backend server beside this companion")
+	// ErrUnknownService rejects one of a service that no configuration has named.
+	ErrUnknownService = errors.New("the configuration doesn't name the service")
+	// ErrNoConfiguration rejects one that would replace a running backend server before
+	// there is a configuration to check its service by. It may be repeated.
+	ErrNoConfiguration = errors.New("there is no configuration yet to check the service by")
+)
 
 // Registration tracks the announcements of a companion's backend server. It must be
 // used by the control goroutine only.
 type Registration struct {
+	config RegistrationConfig
 	target Target
-	// processStart is when this companion's process began, by the clock that backend
-	// servers report their start by.
-	processStart time.Time
-	// announcementLimit is the age of the last announcement beyond which a backend
+	// table is the newest view that holds a configuration, nil before the first one.
+	table *route.Table
+}
+
+// RegistrationConfig configures a Registration.
+type RegistrationConfig struct {
+	// Began is when this companion's process began, by the clock that backend servers
+	// report their start by.
+	Began time.Time
+	// AnnouncementLimit is the age of the last announcement beyond which a backend
 	// server with an earlier start replaces the known one: clocks jump back.
-	announcementLimit time.Duration
+	AnnouncementLimit time.Duration
+	// Server and DataCentre are the address and the data centre of the backend server
+	// beside this companion.
+	Server     netip.AddrPort
+	DataCentre core.DataCentre
 }
 
 // startSlack is how much earlier than its companion a backend server may have
@@ -23,24 +55,39 @@
 // just started; its first announcements may have reached no companion.
 const maxInitialNumber = 5
 
-// NewRegistration returns a Registration without a backend server, for a process
-// that began at the given time. limit is Config.AnnouncementLimit.
-func NewRegistration(began time.Time, limit time.Duration) *Registration {
-	return &Registration{processStart: began, announcementLimit: limit}
+// NewRegistration returns a Registration without a backend server.
+func NewRegistration(config RegistrationConfig) *Registration {
+	return &Registration{config: config}
 }
 
 // Target returns the state of the backend server.
 func (r *Registration) Target() Target { return r.target }
 
-// Announce records an announcement. It reports false for one that is outdated: of
-// an earlier start, or overtaken by a later one.
-func (r *Registration) Announce(now time.Time, a Announcement) (Target, bool) {
+// SetTable records a newer view. It reports whether the state of the backend server has
+// changed: one whose service the first configuration doesn't name is forgotten. Another
+// one that had announced itself before may still run and hold flows.
+func (r *Registration) SetTable(table *route.Table) (Target, bool) {
+	if table.View.Version == 0 {
+		return r.target, false
+	}
+	first := r.table == nil
+	r.table = table
 	t := r.target
-	same := t.Known && t.Server == a.Server && t.Born == a.Born
-	expired := now.Sub(t.LastSeen) > r.announcementLimit
-	if t.Known && !expired && ((same && a.Number <= t.Number) || (!same && a.Born < t.Born)) {
+	if !first || !t.Known || table.NamesService(t.Service) {
 		return t, false
 	}
+	r.target = Target{StartCount: t.StartCount, Ended: t.Ended, EndedAt: t.EndedAt, Reachable: !t.Ended}
+	return r.target, true
+}
+
+// Announce records an announcement, or returns the error that rejects it.
+func (r *Registration) Announce(now time.Time, a Announcement) (Target, error) {
+	t := r.target
+	same := t.Known && t.Server == a.Server && t.Born == a.Born
+	err := r.check(now, a, same)
+	if err != nil {
+		return t, err
+	}
 	if !same {
 		t = Target{Known: true, StartCount: t.StartCount + 1, StartedAfterCompanion: t.Known || t.Ended || r.startedAfterCompanion(a)}
 	}
@@ -53,14 +100,52 @@
 		t.ColdUntil = now.Add(a.ColdFor)
 	}
 	r.target = t
-	return t, true
+	return t, nil
+}
+
+// check returns the error that rejects an announcement, nil for a valid one. same is set
+// if it is of the start that is known.
+func (r *Registration) check(now time.Time, a Announcement, same bool) error {
+	if a.Address != r.config.Server || a.DataCentre != r.config.DataCentre {
+		return ErrOtherPlace
+	}
+	t := &r.target
+	if !same || a.Service != t.Service {
+		err := r.checkService(now, a.Service)
+		if err != nil {
+			return err
+		}
+	}
+	if t.Known && !r.expired(now) && ((same && a.Number <= t.Number) || (!same && a.Born < t.Born)) {
+		return ErrOutdated
+	}
+	return nil
+}
+
+// checkService returns the error that rejects an announcement for its service. Without a
+// configuration any service may be announced where no backend server is known to run.
+func (r *Registration) checkService(now time.Time, service core.ServiceName) error {
+	switch {
+	case r.table != nil && !r.table.NamesService(service):
+		return ErrUnknownService
+	case r.table == nil && r.target.Known && !r.target.Down() && !r.expired(now):
+		return ErrNoConfiguration
+	default:
+		return nil
+	}
+}
+
+// expired reports whether the known backend server hasn't announced itself for longer
+// than the limit.
+func (r *Registration) expired(now time.Time) bool {
+	return now.Sub(r.target.LastSeen) > r.config.AnnouncementLimit
 }
 
 // startedAfterCompanion reports whether the announcing backend server started no
 // earlier than this companion. The announcement number rules out a long-running
 // server whose clock has jumped.
 func (r *Registration) startedAfterCompanion(a Announcement) bool {
-	return a.Number <= maxInitialNumber && !time.UnixMilli(a.Born).Before(r.processStart.Add(-startSlack))
+	return a.Number <= maxInitialNumber && !time.UnixMilli(a.Born).Before(r.config.Began.Add(-startSlack))
 }
 
 // Depart records a backend server's departure. It reports false if another server
--- a/passthrough/gate/target.go
+++ b/passthrough/gate/target.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"net/netip"
 	"time"
 
 	"zinniapulley.dev/core"
@@ -10,8 +11,10 @@
 // Announcement is a backend server's message about itself.
 type Announcement struct {
 	// Server is its own name.
-	Server     string
-	Service    core.ServiceName
+	Server  string
+	Service core.ServiceName
+	// Address is where it receives packets.
+	Address    netip.AddrPort
 	DataCentre core.DataCentre
 	// Born is when it started, in milliseconds since 1970 by its own clock; zero if it
 	// doesn't report it.
--- a/passthrough/gate_test.go
+++ b/passthrough/gate_test.go
@@ -1,6 +1,7 @@
 package passthrough_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -18,8 +19,18 @@
 	}
 }
 
+var serverAt = netip.MustParseAddrPort("192.0.2.80:8080")
+
+// newRegistration returns a Registration of a companion that began at the given time and
+// has no view.
+func newRegistration(began time.Time) *gate.Registration {
+	return gate.NewRegistration(gate.RegistrationConfig{
+		Began: began, AnnouncementLimit: gateConfig().AnnouncementLimit, Server: serverAt, DataCentre: "north",
+	})
+}
+
 func announcement(number uint64) gate.Announcement {
-	return gate.Announcement{Server: "b1", Service: "feed", DataCentre: "north", Born: 100, Number: number, Slots: 2}
+	return gate.Announcement{Server: "b1", Service: "feed", Address: serverAt, DataCentre: "north", Born: 100, Number: number, Slots: 2}
 }
 
 // harness drives a Gate and its Registration.
@@ -35,19 +46,20 @@
 func newHarness(t *testing.T) *harness {
 	b := &harness{
 		t: t, g: gomega.NewWithT(t), gate: gate.New(start, gateConfig()),
-		registration: gate.NewRegistration(start, gateConfig().AnnouncementLimit), now: start,
+		registration: newRegistration(start), now: start,
 	}
+	b.registration.SetTable(table(1))
 	b.gate.SetTable(start, table(1))
 	b.announce(announcement(1))
 	return b
 }
 
 func (b *harness) announce(a gate.Announcement) bool {
-	target, recorded := b.registration.Announce(b.now, a)
-	if recorded {
+	target, err := b.registration.Announce(b.now, a)
+	if err == nil {
 		b.gate.SetTarget(target)
 	}
-	return recorded
+	return err == nil
 }
 
 func (b *harness) advance(d time.Duration) { b.now = b.now.Add(d) }
@@ -323,7 +335,7 @@
 			b := newHarness(t)
 			b.gate = gate.New(start, gateConfig())
 			b.gate.SetTable(start, table(1))
-			b.registration = gate.NewRegistration(start, gateConfig().AnnouncementLimit)
+			b.registration = newRegistration(start)
 			a := announcement(c.number)
 			a.Born = c.born.UnixMilli()
 			b.announce(a)
@@ -358,7 +370,7 @@
 	g.Expect(actions).To(gomega.HaveLen(1))
 	g.Expect(actions[0].Kind).To(gomega.Equal(gate.Drop), "it hasn't announced itself")
 
-	registration := gate.NewRegistration(start.Add(time.Hour), gateConfig().AnnouncementLimit)
+	registration := newRegistration(start.Add(time.Hour))
 	target, _ := registration.Announce(start, announcement(9))
 	tested.SetTarget(target)
 	g.Expect(tested.FromEntry(start, entryAt, true, 1, data(1, 5001))[0].Kind).To(gomega.Equal(gate.Deliver))
@@ -371,7 +383,7 @@
 func BenchmarkDeliver(b *testing.B) {
 	tested := gate.New(start, gateConfig())
 	tested.SetTable(start, table(1))
-	target, _ := gate.NewRegistration(start, gateConfig().AnnouncementLimit).Announce(start, announcement(1))
+	target, _ := newRegistration(start).Announce(start, announcement(1))
 	tested.SetTarget(target)
 	tested.FromEntry(start, entryAt, false, 1, syn(1))
 	tested.FromServer(start, &passthrough.Packet{Key: flowKey(1), Flags: core.TCPSyn | core.TCPAck, Seq: 5000})
--- a/passthrough/model_test.go
+++ b/passthrough/model_test.go
@@ -98,7 +98,8 @@
 	config.DataCentre = m.dataCentre(i)
 	c.gate = gate.New(m.now, config)
 	c.gate.SetTable(m.now, m.table())
-	c.registration = gate.NewRegistration(m.now, config.AnnouncementLimit)
+	c.registration = newRegistration(m.now)
+	c.registration.SetTable(m.table())
 	m.announce(i)
 }
 
@@ -158,10 +159,17 @@
 		return
 	}
 	c.number++
-	target, recorded := c.registration.Announce(m.now, gate.Announcement{
-		Server: fmt.Sprintf("b%d-%d", i, c.start), Service: "feed", Born: c.born, Number: c.number, Slots: 50, Draining: c.draining,
+	m.announceAs(i, gate.Announcement{
+		Server: fmt.Sprintf("b%d-%d", i, c.start), Service: "feed", Address: serverAt, DataCentre: "north",
+		Born: c.born, Number: c.number, Slots: 50, Draining: c.draining,
 	})
-	if recorded {
+}
+
+// announceAs hands an announcement to a companion.
+func (m *model) announceAs(i int, a gate.Announcement) {
+	c := m.companions[i]
+	target, err := c.registration.Announce(m.now, a)
+	if err == nil {
 		c.gate.SetTarget(target)
 		m.gate(0, i, c.gate.ResetFlows(), 0)
 	}
@@ -408,6 +416,21 @@
 	}
 }
 
+// foreignAnnouncement has another writer announce an unknown service at the companion that
+// an open flow goes through.
+func (m *model) foreignAnnouncement() {
+	if m.nextPort == 0 {
+		return
+	}
+	owner, alive := m.alive(flowKey(1 + m.random.IntN(m.nextPort)))
+	if alive {
+		m.advance(3 * time.Second)
+		m.announceAs(owner.companion, gate.Announcement{
+			Server: "foreign", Service: "unknown", Address: serverAt, DataCentre: "north", Born: m.now.UnixMilli(), Number: 1, Slots: 50,
+		})
+	}
+}
+
 // useFlow sends a packet of an open flow through a random entry instance, and checks
 // that it reaches the backend server that holds the flow.
 func (m *model) useFlow() {
@@ -462,6 +485,8 @@
 		m.advance(1200 * time.Millisecond)
 	case "restart server":
 		m.startServer(i)
+	case "foreign announcement":
+		m.foreignAnnouncement()
 	case "end server":
 		m.endServer(i)
 	case "probe":
@@ -476,6 +501,7 @@
 			m.out = []core.DataCentre{m.dataCentre(i)}
 		}
 		for _, c := range m.companions {
+			c.registration.SetTable(m.table())
 			c.gate.SetTable(m.now, m.table())
 		}
 		for _, e := range m.entries {
@@ -487,8 +513,8 @@
 }
 
 var modelSteps = []string{
-	"open", "open", "use", "use", "use", "restart entry", "restart companion", "restart all companions", "restart all", "restart server", "replace server", "end server", "probe", "probe",
-	"drain", "data centre", "wait",
+	"open", "open", "use", "use", "use", "restart entry", "restart companion", "restart all companions", "restart all", "restart server", "replace server", "foreign announcement", "end server",
+	"probe", "probe", "drain", "data centre", "wait",
 }
 
 // runModel plays random steps and returns how many relays and checks of flows they led to.
--- a/passthrough/overload_test.go
+++ b/passthrough/overload_test.go
@@ -90,7 +90,7 @@
 		callers: map[core.FlowKey]*overloadCaller{},
 	}
 	l.gate.SetTable(start, route.Compile(queueView(2)))
-	registration := gate.NewRegistration(start, gateConfig().AnnouncementLimit)
+	registration := newRegistration(start)
 	for i := range 100 {
 		l.after(time.Duration(i)*time.Second, func() {
 			a := announcement(uint64(i + 1))
--- a/passthrough/relay_test.go
+++ b/passthrough/relay_test.go
@@ -74,7 +74,7 @@
 		a := announcement(2)
 		a.Service = "other"
 		a.Born, a.Server = 200, "b2"
-		b.registration = gate.NewRegistration(start, gateConfig().AnnouncementLimit)
+		b.registration = newRegistration(start)
 		a.Number = 50
 		b.announce(a)
 		b.expectNotHeld(b.sendRelayed(data(1, 5001)))
--- a/passthrough/restart_test.go
+++ b/passthrough/restart_test.go
@@ -90,7 +90,7 @@
 		config.DataCentre = fleetStatus(i, 4).DataCentre
 		c.gate = gate.New(start, config)
 		c.gate.SetTable(start, restartedTable(companions))
-		c.registration = gate.NewRegistration(start, config.AnnouncementLimit)
+		c.registration = newRegistration(start)
 		r.companions = append(r.companions, c)
 		r.byAddress[c.address] = c
 		r.announce(c, 50)
@@ -108,8 +108,8 @@
 func (r *restart) announce(c *restartCompanion, number uint64) {
 	a := announcement(number)
 	a.Server, a.Slots = c.address.String(), 50
-	target, recorded := c.registration.Announce(r.now, a)
-	r.g.Expect(recorded).To(gomega.BeTrue())
+	target, err := c.registration.Announce(r.now, a)
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	c.gate.SetTarget(target)
 	r.report(c)
 }
@@ -412,7 +412,7 @@
 	const companions, flows = 8, 20
 	r := newRestart(t, companions, flows)
 	late := r.companions[3]
-	late.registration = gate.NewRegistration(start, gateConfig().AnnouncementLimit)
+	late.registration = newRegistration(start)
 	late.gate = gate.New(start, gateConfig())
 	late.gate.SetTable(start, restartedTable(companions))
 	r.report(late)
--- a/roles/companion/companion.go
+++ b/roles/companion/companion.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"zinniapulley.dev/asynclog"
 	"zinniapulley.dev/core"
@@ -39,9 +38,6 @@
 // processStart is when the process started.
 var processStart = time.Now()
 
-// ErrOutdated reports an announcement superseded by a later start or announcement.
-const ErrOutdated = errors.ConstError("a later start or announcement is known here")
-
 // Config configures a companion.
 type Config struct {
 	Instance   core.InstanceID
@@ -111,7 +107,7 @@
 }
 
 // Announce records an announcement of the backend server. The packet path uses it once
-// Announce has returned without an error.
+// Announce has returned without an error; those of [gate.Registration.Announce] reject it.
 func (c *Companion) Announce(ctx context.Context, a gate.Announcement) error {
 	return c.call(ctx, "announce", func(reply loop.Reply[error]) event { return announced{a: a, reply: reply} })
 }
@@ -142,7 +138,7 @@
 			})
 		},
 		Control: func(ctx context.Context) {
-			c.loop.Run(ctx, &control{companion: c, controls: c.config.Seeds(), registration: gate.NewRegistration(processStart, c.config.Gate.AnnouncementLimit)})
+			c.loop.Run(ctx, newControl(c))
 		},
 		Packets: func(ctx context.Context) { traffic.Run(ctx, newPacketPath(c), tickInterval, c.peers, c.outbound) },
 		OnShutdown: func() {
--- a/roles/companion/control.go
+++ b/roles/companion/control.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"zinniapulley.dev/loop"
 	"zinniapulley.dev/passthrough/gate"
 	"zinniapulley.dev/roles/feed"
@@ -31,6 +32,8 @@
 	// departing is set when the companion shuts down and no backend server runs beside
 	// it.
 	departing bool
+	// rejected counts the announcements that were rejected.
+	rejected metrics.Counter
 }
 
 const (
@@ -41,6 +44,16 @@
 	departureInterval = 120 * time.Millisecond
 )
 
+func newControl(c *Companion) *control {
+	return &control{
+		companion: c, controls: c.config.Seeds(),
+		registration: gate.NewRegistration(gate.RegistrationConfig{
+			Began: processStart, AnnouncementLimit: c.config.Gate.AnnouncementLimit, Server: c.config.Server, DataCentre: c.config.DataCentre,
+		}),
+		rejected: metrics.GetOrRegisterCounter("announcements.rejected", c.config.Metrics),
+	}
+}
+
 // Handle processes one event.
 func (c *control) Handle(now time.Time, e event) { e.handle(c, now) }
 
@@ -120,7 +133,14 @@
 	if u.View == nil || (table != nil && u.View.Revision <= table.View.Revision) {
 		return
 	}
-	c.updateState(func(s *state) { s.table = route.Compile(u.View) })
+	table = route.Compile(u.View)
+	before := c.registration.Target()
+	target, forgotten := c.registration.SetTable(table)
+	c.updateState(func(s *state) { s.table, s.target = table, target })
+	if forgotten {
+		log.Warn("backend server forgotten, the configuration doesn't name its service", "server", before.Server, "service", before.Service,
+			"version", u.View.Version)
+	}
 	log.Info("view in force", "revision", u.View.Revision, "version", u.View.Version, "routes", len(u.View.Routes), "out", u.View.Out)
 }
 
@@ -132,11 +152,13 @@
 
 func (e announced) handle(c *control, now time.Time) {
 	before := c.registration.Target()
-	target, accepted := c.registration.Announce(now, e.a)
-	if !accepted {
-		c.companion.config.Log.Warn("outdated announcement rejected", "server", e.a.Server, "born", e.a.Born, "number", e.a.Number,
-			"knownServer", before.Server, "knownBorn", before.Born, "knownNumber", before.Number)
-		e.reply.Answer(ErrOutdated)
+	target, err := c.registration.Announce(now, e.a)
+	if err != nil {
+		c.rejected.Inc(1)
+		c.companion.config.Log.Warn("announcement rejected", "server", e.a.Server, "service", e.a.Service, "address", e.a.Address, "dataCentre", e.a.DataCentre,
+			"born", e.a.Born, "number", e.a.Number, "knownServer", before.Server, "knownService", before.Service, "knownBorn", before.Born,
+			"knownNumber", before.Number, "error", err)
+		e.reply.Answer(err)
 		return
 	}
 	c.updateState(func(s *state) { s.target = target })
--- a/roles/systemtest/system_test.go
+++ b/roles/systemtest/system_test.go
@@ -138,7 +138,7 @@
 
 func startServer(t *testing.T, i byte) *packets.Server {
 	t.Helper()
-	s, err := packets.NewServer(dataCentre(i)+string('0'+i), at(groupCompanion, i+1, serverPort), at(groupCompanion, i+1, outboundPort))
+	s, err := packets.NewServer(dataCentre(i)+string('0'+i), serverAt(i), at(groupCompanion, i+1, outboundPort))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -181,10 +181,12 @@
 
 func entryAt(i byte) netip.AddrPort { return at(groupEntry, i+1, callerPort) }
 
+func serverAt(i byte) netip.AddrPort { return at(groupCompanion, i+1, serverPort) }
+
 func (s *system) startCompanion(i byte) *process[*companion.Companion] {
 	built, err := companion.New(companion.Config{
 		Instance: core.InstanceID("companion" + string('1'+i)), DataCentre: core.DataCentre(dataCentre(i)),
-		Packets: at(groupCompanion, i+1, callerPort), Outbound: at(groupCompanion, i+1, outboundPort), Server: at(groupCompanion, i+1, serverPort), Health: at(groupCompanion, i+1, serverPort),
+		Packets: at(groupCompanion, i+1, callerPort), Outbound: at(groupCompanion, i+1, outboundPort), Server: serverAt(i), Health: serverAt(i),
 		Seeds: s.seedAddresses, Codec: platform.Datagrams{CallerPort: callerPort}, Log: discardLog, Metrics: metrics.NewRegistry(),
 		Gate: gate.Config{DataCentre: core.DataCentre(dataCentre(i)), AnnouncementLimit: time.Hour, FirstAnnouncementLimit: time.Hour, ColdFactor: 1.5, ColdSlack: 5, MaxFlowAge: time.Minute},
 	})
@@ -196,7 +198,7 @@
 	s.number++
 	for i, c := range s.companions {
 		err := c.role.Announce(context.Background(), gate.Announcement{
-			Server: s.servers[i].Name, Service: "feed", DataCentre: core.DataCentre(dataCentre(byte(i))),
+			Server: s.servers[i].Name, Service: "feed", Address: serverAt(byte(i)), DataCentre: core.DataCentre(dataCentre(byte(i))),
 			Born: 1, Number: s.number, Slots: 100, Draining: draining[i],
 		})
 		s.g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -381,10 +383,14 @@
 func TestLostFlowIsResetAmongManyCompanions(t *testing.T) {
 	s := startReachable(t, 30, 10)
 	for i, c := range s.companions {
-		s.g.Expect(c.role.Announce(context.Background(), gate.Announcement{
-			Server: s.servers[i].Name, Service: "feed", DataCentre: core.DataCentre(dataCentre(byte(i))),
-			Born: time.Now().UnixMilli(), Number: 1, Slots: 100,
-		})).To(gomega.Succeed())
+		born := time.Now().UnixMilli()
+		// A companion without a configuration doesn't let one server replace another.
+		s.eventually(func() error {
+			return c.role.Announce(context.Background(), gate.Announcement{
+				Server: s.servers[i].Name, Service: "feed", Address: serverAt(byte(i)), DataCentre: core.DataCentre(dataCentre(byte(i))),
+				Born: born, Number: 1, Slots: 100,
+			})
+		})
 	}
 	lost, err := s.caller.Open(feedAddress, entryAt(0))
 	s.g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -407,7 +413,7 @@
 		s.servers[i] = startServer(t, byte(i))
 		s.companions[i] = s.startCompanion(byte(i))
 		s.g.Expect(s.companions[i].role.Announce(context.Background(), gate.Announcement{
-			Server: s.servers[i].Name + "again", Service: "feed", DataCentre: core.DataCentre(dataCentre(byte(i))),
+			Server: s.servers[i].Name + "again", Service: "feed", Address: serverAt(byte(i)), DataCentre: core.DataCentre(dataCentre(byte(i))),
 			Born: time.Now().Add(time.Minute).UnixMilli(), Number: 1, Slots: 100,
 		})).To(gomega.Succeed())
 	}
--- a/route/view.go
+++ b/route/view.go
@@ -54,6 +54,20 @@
 	return t.services[name]
 }
 
+// NamesService reports whether the configuration names the service, or named it before for
+// a route that remains: its backend servers may still hold flows.
+func (t *Table) NamesService(name core.ServiceName) bool {
+	if t.services[name] != nil {
+		return true
+	}
+	for i := range t.View.Routes {
+		if slices.Contains(t.View.Routes[i].Former, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // Listed reports whether the view lists the companion as one that may hold flows.
 func (t *Table) Listed(companion netip.AddrPort) bool {
 	_, listed := slices.BinarySearchFunc(t.View.Companions, companion, compareCompanion)
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -61,7 +61,9 @@
 
 // backend is a backend server and what it announces.
 type backend struct {
-	server      *packets.Server
+	server *packets.Server
+	// address is where the server receives packets.
+	address     netip.AddrPort
 	companion   *process
 	service     core.ServiceName
 	zone        core.DataCentre
@@ -165,11 +167,12 @@
 }
 
 func (d *deployment) addBackend(i byte, companion *process) error {
-	server, err := packets.NewServer(fmt.Sprintf("%s%d", serviceOf(i), i), d.address(groupServer, i+1, platformtest.PortServer), d.address(groupServer, i+1, platformtest.PortOutbound))
+	address := d.address(groupServer, i+1, platformtest.PortServer)
+	server, err := packets.NewServer(fmt.Sprintf("%s%d", serviceOf(i), i), address, d.address(groupServer, i+1, platformtest.PortOutbound))
 	if err != nil {
 		return err
 	}
-	b := &backend{server: server, companion: companion, service: serviceOf(i), zone: zoneOf(i), announceURL: "http://" + d.address(groupServer, i+1, platformtest.PortControl).String(), start: 1}
+	b := &backend{server: server, address: address, companion: companion, service: serviceOf(i), zone: zoneOf(i), announceURL: "http://" + d.address(groupServer, i+1, platformtest.PortControl).String(), start: 1}
 	server.OnOpen = func(key core.FlowKey) { d.checkOpening(b, key.Service) }
 	if b.service == jobsService {
 		d.jobs.addServer(b, server.OnOpen)
--- a/soak/work.go
+++ b/soak/work.go
@@ -71,7 +71,7 @@
 	b.number++
 	start, draining := b.start, b.draining
 	a := platformtest.Announcement{
-		Server: fmt.Sprintf("%s-%d", b.server.Name, start), Service: b.service, DataCentre: b.zone, Draining: draining,
+		Server: fmt.Sprintf("%s-%d", b.server.Name, start), Service: b.service, Address: b.address, DataCentre: b.zone, Draining: draining,
 		Slots: slots, Number: b.number, Born: int64(bornBase + start),
 	}
 	b.lock.Unlock()
