Keep flows for the idle timeout, however long it is

Cause: the adapter took the value for the longest duration there is; the companion added its margin of 10 s, and the sum wrapped to a negative retention, which every flow exceeds.

Evidence: in the logs, 'view in force version=2' and then, for each of the 30 flows, 'flow is not here' at the companion that had admitted it and the entry instance's reset. Ruled out: the lookup (it does what the companions' denials say) and a lost view.

Change: the companion compares without adding to the configured timeout, so that stored configurations are harmless too. A flow beyond the maximum age that has been silent for 30 s is removed: with such timeouts, those of callers that vanished would have counted towards the connection limit for ever. Companions log the idle timeout of a view.

--- a/passthrough/gate/gate.go
+++ b/passthrough/gate/gate.go
@@ -32,9 +32,10 @@
 	halfOpenLimit = 3 * time.Second
 	// closedRetention is how long a closed flow is kept to handle late packets.
 	closedRetention = 4 * time.Second
-	// idleMargin is added to the idle timeout after which a flow is removed.
+	// idleMargin is how much longer than the idle timeout an idle flow is kept.
 	idleMargin = 10 * time.Second
-	// defaultIdleRetention applies while the configuration has no idle timeout.
+	// defaultIdleRetention applies while the configuration has no idle timeout, and to
+	// flows that are older than any flow gets, whose callers have vanished.
 	defaultIdleRetention = 30 * time.Second
 )
 
--- a/passthrough/gate/server.go
+++ b/passthrough/gate/server.go
@@ -153,7 +153,7 @@
 	delete(g.flows, key)
 }
 
-// Sweep removes flows without packets for longer than their retention.
+// Sweep removes the records that are no longer needed.
 func (g *Gate) Sweep(now time.Time) {
 	if now.Sub(g.lastSweep) < passthrough.SweepInterval {
 		return
@@ -161,23 +161,35 @@
 	g.lastSweep = now
 	g.trimDelivered(now)
 	for key, flow := range g.flows {
-		if now.Sub(flow.lastSeen) > g.retention(flow) {
+		if g.expired(now, flow) {
 			g.remove(key, flow)
 		}
 	}
 }
 
-// retention is how long a flow without packets is kept.
-func (g *Gate) retention(flow *gateFlow) time.Duration {
+// expired reports whether a flow's record is no longer needed. The idle timeout may be any
+// duration: nothing is added to it.
+func (g *Gate) expired(now time.Time, flow *gateFlow) bool {
+	idle := now.Sub(flow.lastSeen)
 	switch flow.stage {
 	case stageHalfOpen, stageUnconfirmed:
-		return halfOpenLimit
+		return idle > halfOpenLimit
 	case stageClosed, stageNotHeld:
-		return closedRetention
+		return idle > closedRetention
 	default:
-		if g.table != nil && g.table.View.IdleTimeout > 0 {
-			return g.table.View.IdleTimeout + idleMargin
-		}
-		return defaultIdleRetention
+		return idle-idleMargin > g.idleTimeout() || (idle > defaultIdleRetention && g.olderThanAnyFlow(now, flow))
+	}
+}
+
+// idleTimeout returns the configured idle timeout, or the default if there is none.
+func (g *Gate) idleTimeout() time.Duration {
+	if g.table != nil && g.table.View.IdleTimeout > 0 {
+		return g.table.View.IdleTimeout
 	}
+	return defaultIdleRetention - idleMargin
+}
+
+// olderThanAnyFlow reports whether the flow has exceeded the maximum age of flows.
+func (g *Gate) olderThanAnyFlow(now time.Time, flow *gateFlow) bool {
+	return g.config.MaxFlowAge > 0 && now.Sub(flow.openingAt) > g.config.MaxFlowAge
 }
--- a/roles/companion/control.go
+++ b/roles/companion/control.go
@@ -141,7 +141,7 @@
 		log.Warn("backend server forgotten, the configuration doesn't name its service", "server", before.Server, "service", before.Service,
 			"version", u.View.Version)
 	}
-	log.Info("view in force", "revision", u.View.Revision, "version", u.View.Version, "routes", len(u.View.Routes), "out", u.View.Out)
+	log.Info("view in force", "revision", u.View.Revision, "version", u.View.Version, "routes", len(u.View.Routes), "out", u.View.Out, "idleTimeout", u.View.IdleTimeout)
 }
 
 // announced is an announcement of the backend server.
