Let a very high cold rate be no limit

Cause: the bound on a cold backend server's new flows was computed as an integer. A rate beyond its range, valid in a configuration, wrapped to a negative bound, which left the server one flow a second.

Change: the bound is compared as a float64; for rates within range it is the same number.

Test: TestVeryHighColdRateIsNoLimit failed before (the second flow was refused).

--- a/passthrough/gate/target.go
+++ b/passthrough/gate/target.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -183,8 +184,9 @@
 	if service == nil || service.ColdRate <= 0 {
 		return false
 	}
-	bound := int(service.ColdRate*g.config.ColdFactor) + g.config.ColdSlack - coldReserve
-	return len(g.delivered) >= max(bound, 1)
+	// As a float, since the rate may be higher than any integer.
+	bound := math.Floor(service.ColdRate*g.config.ColdFactor) + float64(g.config.ColdSlack-coldReserve)
+	return float64(len(g.delivered)) >= max(bound, 1)
 }
 
 // trimDelivered drops the opening packets delivered before the window that ends now.
--- a/passthrough/retention_test.go
+++ b/passthrough/retention_test.go
@@ -50,3 +50,19 @@
 	b.g.Expect(b.gate.Status(b.now).Flows).To(gomega.Equal(1))
 	b.expect(b.gate.HandleQuery(b.now, entryAt, flowKey(2)), gate.SendNote, passthrough.ReasonOpened)
 }
+
+// A very high cold rate wrapped to a negative bound, which left a cold backend server one
+// flow a second.
+func TestVeryHighColdRateIsNoLimit(t *testing.T) {
+	b := newHarness(t)
+	view := *table(2).View
+	view.Services = []route.Service{{Name: "feed", ColdFor: math.MaxInt64, ColdRate: math.MaxFloat64}}
+	b.gate.SetTable(b.now, route.Compile(&view))
+	cold := announcement(2)
+	cold.ColdFor = math.MaxInt64
+	b.announce(cold)
+	for port := range 3 {
+		b.open(port, 5000)
+	}
+	b.g.Expect(b.gate.Status(b.now).Cold).To(gomega.BeTrue())
+}
