Say why a forgotten backend server's address counts as reachable

Cause: the comment on the registration's first configuration left open what a companion believes about flows once it has forgotten a backend server.

Change: comments only.

--- a/passthrough/gate/registration.go
+++ b/passthrough/gate/registration.go
@@ -16,7 +16,8 @@
 	ErrOutdated = errors.New("a later start or announcement is known here")
 	// ErrOtherPlace rejects one that names another address or data centre.
 	ErrOtherPlace = errors.New("the address or data centre is not that of the backend server beside this companion")
-	// ErrUnknownService rejects one of a service that no configuration has named.
+	// ErrUnknownService rejects one of a service that the configuration doesn't name, see
+	// [route.Table.NamesService].
 	ErrUnknownService = errors.New("the configuration doesn't name the service")
 	// ErrNoConfiguration rejects one that would replace a running backend server before
 	// there is a configuration to check its service by. It may be repeated.
@@ -64,8 +65,9 @@
 func (r *Registration) Target() Target { return r.target }
 
 // SetTable records a newer view. It reports whether the state of the backend server has
-// changed: one whose service the first configuration doesn't name is forgotten. Another
-// one that had announced itself before may still run and hold flows.
+// changed: one whose service the first configuration doesn't name is forgotten. As another
+// one may run at the address and hold flows, that counts as reachable until a connection to
+// it is refused.
 func (r *Registration) SetTable(table *route.Table) (Target, bool) {
 	if table.View.Version == 0 {
 		return r.target, false
@@ -136,7 +138,7 @@
 }
 
 // expired reports whether the known backend server hasn't announced itself for longer
-// than the limit.
+// than AnnouncementLimit.
 func (r *Registration) expired(now time.Time) bool {
 	return now.Sub(r.target.LastSeen) > r.config.AnnouncementLimit
 }
