--- a/soak/soak.go
+++ b/soak/soak.go
@@ -153,6 +153,7 @@
 	working.Go(func() { o.run(limited) })
 	working.Go(func() { d.announce(limited) })
 	working.Go(func() { d.runJobs(limited) })
+	working.Go(func() { d.announceForeign(limited, rand.New(rand.NewPCG(d.options.Seed, 3))) })
 	inject(limited, d, random)
 	working.Wait()
 	d.jobs.check(r)
--- a/soak/work.go
+++ b/soak/work.go
@@ -90,6 +90,21 @@
 	}
 }
 
+// announceForeign announces an unknown service to random companions until ctx is done. It
+// must not replace the backend servers there.
+func (d *deployment) announceForeign(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		randomPause(ctx, random, maxFaultPause)
+		b := d.backends[random.IntN(len(d.backends))]
+		a := platformtest.Announcement{
+			Server: "foreign", Service: "unknown", Address: b.address, DataCentre: b.zone, Slots: slots, Number: 1, Born: time.Now().UnixMilli(),
+		}
+		d.recorder.fault("an unknown service is announced at the companion of %s", b.server.Name)
+		// A companion that is down or paused doesn't answer.
+		_, _, _ = doHTTP(ctx, http.MethodPut, b.announceURL+a.Path(), a.Body())
+	}
+}
+
 func doHTTP(ctx context.Context, method, url, body string) (int, []byte, error) {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -203,8 +218,11 @@
 	return "http://" + o.deployment.seeds[o.random.IntN(controls)].String() + platformtest.ConfigurationPath
 }
 
+// idleTimeouts are the idle timeouts of successive configurations, in milliseconds.
+var idleTimeouts = []int{15_000, 15_000, 1<<53 - 1}
+
 func document(version int) string {
-	return platformtest.Configuration{Version: version, Routes: routes}.Body()
+	return platformtest.Configuration{Version: version, Routes: routes, IdleTimeoutMs: idleTimeouts[version%len(idleTimeouts)]}.Body()
 }
 
 // submitFirst submits the first configuration until it is acknowledged.
