Believe no announcement before the first configuration

The companion took the other writer's as that of a server that had started after itself, counted itself as tracking all flows, and denied those of the running server; its status also named the unknown service, so that entry instances would have left the companion out of lookups.

Evidence: 'packet not delivered ... reason="flow is not here" server=foreign announcementAge=818us version=0', then the entry instance's reset.

Change: until the first configuration names its service, an announcement only shows that a server may run at the address; what it proves about flows counts from then on. An earlier announcement of a start that isn't confirmed proves nothing about its successor.

--- a/cmd/zinniapulley/soak_test.go
+++ b/cmd/zinniapulley/soak_test.go
@@ -22,6 +22,9 @@
 	// Flows were reset because a backend server announced itself late, under load,
 	// and was considered not running.
 	444,
+	// A flow was reset because a companion without a configuration believed another
+	// writer's announcement of an unknown service.
+	817,
 }
 
 // TestShortSoak runs real processes under injected faults. ./soak/run runs more seeds.
--- a/passthrough/gate/registration.go
+++ b/passthrough/gate/registration.go
@@ -28,6 +28,8 @@
 // used by the control goroutine only.
 type Registration struct {
 	config RegistrationConfig
+	// target is the state of the announced backend server. Before the first configuration
+	// it may be that of another writer's announcement, see Target.
 	target Target
 	// table is the newest view that holds a configuration, nil before the first one.
 	table *route.Table
@@ -61,25 +63,32 @@
 	return &Registration{config: config}
 }
 
-// Target returns the state of the backend server.
-func (r *Registration) Target() Target { return r.target }
+// Target returns the state of the backend server. Before the first configuration an
+// announcement only shows that a server may run at the address.
+func (r *Registration) Target() Target {
+	if r.AwaitsConfiguration() {
+		return Target{Ended: r.target.Ended, EndedAt: r.target.EndedAt, Reachable: !r.target.Ended}
+	}
+	return r.target
+}
 
-// SetTable records a newer view. It reports whether the state of the backend server has
-// changed: one whose service the first configuration doesn't name is forgotten. As another
-// one may run at the address and hold flows, that counts as reachable until a connection to
-// it is refused.
-func (r *Registration) SetTable(table *route.Table) (Target, bool) {
+// AwaitsConfiguration reports whether there is an announcement that can't be checked before
+// the first configuration.
+func (r *Registration) AwaitsConfiguration() bool { return r.table == nil && r.target.Known }
+
+// SetTable records a newer view, and returns the state of the backend server and the
+// error that rejects what was announced before the first configuration, if any.
+func (r *Registration) SetTable(table *route.Table) (Target, error) {
 	if table.View.Version == 0 {
-		return r.target, false
+		return r.Target(), nil
 	}
-	first := r.table == nil
+	before, first := r.Target(), r.table == nil
 	r.table = table
-	t := r.target
-	if !first || !t.Known || table.NamesService(t.Service) {
-		return t, false
+	if first && r.target.Known && !table.NamesService(r.target.Service) {
+		r.target = before
+		return before, ErrUnknownService
 	}
-	r.target = Target{StartCount: t.StartCount, Ended: t.Ended, EndedAt: t.EndedAt, Reachable: !t.Ended}
-	return r.target, true
+	return r.target, nil
 }
 
 // Announce records an announcement, or returns the error that rejects it.
@@ -88,10 +97,11 @@
 	same := t.Known && t.Server == a.Server && t.Born == a.Born
 	err := r.check(now, a, same)
 	if err != nil {
-		return t, err
+		return r.Target(), err
 	}
 	if !same {
-		t = Target{Known: true, StartCount: t.StartCount + 1, StartedAfterCompanion: t.Known || t.Ended || r.startedAfterCompanion(a)}
+		replaces := t.Known && r.table != nil
+		t = Target{Known: true, StartCount: t.StartCount + 1, StartedAfterCompanion: replaces || t.Ended || r.startedAfterCompanion(a)}
 	}
 	t.Ended = false
 	// A backend server that drains doesn't resume before it is started again.
@@ -102,7 +112,7 @@
 		t.ColdUntil = now.Add(a.ColdFor)
 	}
 	r.target = t
-	return t, nil
+	return r.Target(), nil
 }
 
 // check returns the error that rejects an announcement, nil for a valid one. same is set
@@ -154,28 +164,28 @@
 // is known here.
 func (r *Registration) Depart(server string) (Target, bool) {
 	if !r.target.Known || r.target.Server != server {
-		return r.target, false
+		return r.Target(), false
 	}
 	r.target.Departed = true
-	return r.target, true
+	return r.Target(), true
 }
 
 // ConnectionRefused records that a connection to the backend server's address, begun
 // at the given time, was refused. It reports false if that changes nothing.
 func (r *Registration) ConnectionRefused(began time.Time) (Target, bool) {
 	if r.target.Departed || r.target.Ended || !r.target.LastSeen.Before(began) {
-		return r.target, false
+		return r.Target(), false
 	}
 	r.target.Ended, r.target.EndedAt, r.target.Reachable = true, began, false
-	return r.target, true
+	return r.Target(), true
 }
 
 // ConnectionAccepted records that a connection to the backend server's address was
 // accepted. It reports false if that changes nothing.
 func (r *Registration) ConnectionAccepted() (Target, bool) {
 	if r.target.Known || r.target.Reachable {
-		return r.target, false
+		return r.Target(), false
 	}
 	r.target.Reachable, r.target.Ended = true, false
-	return r.target, true
+	return r.Target(), true
 }
--- a/roles/companion/control.go
+++ b/roles/companion/control.go
@@ -120,7 +120,7 @@
 // updated is an update from a control instance.
 type updated feed.Update
 
-func (u updated) handle(c *control, _ time.Time) {
+func (u updated) handle(c *control, now time.Time) {
 	log := c.companion.config.Log
 	if len(u.Controls) > 0 {
 		c.controls = u.Controls
@@ -135,12 +135,12 @@
 	}
 	table = route.Compile(u.View)
 	before := c.registration.Target()
-	target, forgotten := c.registration.SetTable(table)
+	target, err := c.registration.SetTable(table)
 	c.updateState(func(s *state) { s.table, s.target = table, target })
-	if forgotten {
-		log.Warn("backend server forgotten, the configuration doesn't name its service", "server", before.Server, "service", before.Service,
-			"version", u.View.Version)
+	if err != nil {
+		log.Warn("earlier announcement rejected", "version", u.View.Version, "error", err)
 	}
+	c.reportTarget(now, &before, &target)
 	log.Info("view in force", "revision", u.View.Revision, "version", u.View.Version, "routes", len(u.View.Routes), "out", u.View.Out, "idleTimeout", u.View.IdleTimeout)
 }
 
@@ -162,14 +162,20 @@
 		return
 	}
 	c.updateState(func(s *state) { s.target = target })
-	if before.StartCount != target.StartCount || before.Draining != target.Draining {
-		c.sendHeartbeat(now)
-		c.companion.config.Log.Info("backend server announced", "server", target.Server, "service", target.Service, "born", target.Born,
-			"number", target.Number, "slots", target.Slots, "draining", target.Draining, "coldFor", e.a.ColdFor, "expectedService", c.companion.config.Service)
-	}
+	c.reportTarget(now, &before, &target)
 	e.reply.Answer(nil)
 }
 
+// reportTarget tells control and the log of a backend server that has started or drains.
+func (c *control) reportTarget(now time.Time, before, target *gate.Target) {
+	if before.StartCount == target.StartCount && before.Draining == target.Draining {
+		return
+	}
+	c.sendHeartbeat(now)
+	c.companion.config.Log.Info("backend server announced", "server", target.Server, "service", target.Service, "born", target.Born,
+		"number", target.Number, "slots", target.Slots, "draining", target.Draining, "coldFor", target.ColdFor, "expectedService", c.companion.config.Service)
+}
+
 // departed is the departure of the backend server.
 type departed struct {
 	server string
--- a/roles/companion/look.go
+++ b/roles/companion/look.go
@@ -26,7 +26,7 @@
 // given time if a backend server runs.
 func (c *control) needsProbe(at time.Time) bool {
 	target := c.registration.Target()
-	return c.companion.config.Health.IsValid() && !target.Known && !target.NoServer(at, processStart, c.companion.config.Gate.FirstAnnouncementLimit)
+	return c.companion.config.Health.IsValid() && !target.Known && !c.registration.AwaitsConfiguration() && !target.NoServer(at, processStart, c.companion.config.Gate.FirstAnnouncementLimit)
 }
 
 // probe starts a connection attempt to the backend server's health address, unless one
