Describe when a backend server counts as known or reachable, and add to the soak's report in one place

Cause: the comments on Target still said that any announcement makes a backend server known, and that only an accepted connection makes it reachable; before the first configuration neither holds any more.

Behaviour is the same.

--- a/passthrough/gate/target.go
+++ b/passthrough/gate/target.go
@@ -33,7 +33,7 @@
 // been handed out.
 type Target struct {
 	Announcement
-	// Known is set once it has announced itself.
+	// Known is set once it has announced itself and a configuration has named its service.
 	Known bool
 	// Departed is set once it has announced its departure.
 	Departed bool
@@ -41,8 +41,8 @@
 	// EndedAt, was refused. It may be set before any announcement.
 	Ended   bool
 	EndedAt time.Time
-	// Reachable is set when a connection to its address was accepted before any
-	// announcement.
+	// Reachable is set while it isn't known, but a connection to its address was accepted or
+	// an announcement waits for the first configuration: it may run and hold flows.
 	Reachable bool
 	// StartCount counts the starts of backend servers that have announced themselves.
 	StartCount int
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -82,21 +82,22 @@
 }
 
 func (r *recorder) violation(format string, arguments ...any) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	r.report.Violations = append(r.report.Violations, r.stamp()+fmt.Sprintf(format, arguments...))
+	r.add(&r.report.Violations, fmt.Sprintf(format, arguments...))
 }
 
 func (r *recorder) overtaken(format string, arguments ...any) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	r.report.Overtaken = append(r.report.Overtaken, r.stamp()+fmt.Sprintf(format, arguments...))
+	r.add(&r.report.Overtaken, fmt.Sprintf(format, arguments...))
 }
 
 func (r *recorder) fault(format string, arguments ...any) {
+	r.add(&r.report.Faults, fmt.Sprintf(format, arguments...))
+}
+
+// add appends a text with its time to a list of the report.
+func (r *recorder) add(list *[]string, text string) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.report.Faults = append(r.report.Faults, r.stamp()+fmt.Sprintf(format, arguments...))
+	*list = append(*list, r.stamp()+text)
 }
 
 func (r *recorder) stamp() string {
