--- a/review/standin-2/target.go
+++ b/review/standin-2/target.go
@@ -55,9 +55,7 @@
 	first    uint32
 	next     uint32
 	received uint32
-	// unacked is the answer that the client hasn't acknowledged.
-	unacked []byte
-	ackedTo uint32
+	ackedTo  uint32
 }
 
 // startTarget starts a target beside the node. It announces itself at once.
