Show that a delayed announcement sends flows to a server of another service

Cause: a companion that has just started believes the first announcement that it hears, also that of a backend server whose address another service uses now.

--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -30,8 +30,21 @@
 	stopLimit = 6 * time.Second
 )
 
-// service is the service of all targets.
-const service = "balcao"
+// The services, and their routes' ports. Requests of one of them may not be run by the other.
+const (
+	service      = "balcao"
+	otherService = "manuais"
+	port         = 8443
+	otherPort    = 8080
+)
+
+// serviceOf returns the service that the route of an address is configured for.
+func serviceOf(route netip.AddrPort) string {
+	if route.Port() == otherPort {
+		return otherService
+	}
+	return service
+}
 
 // node is one machine with one process of the system.
 type node struct {
@@ -41,6 +54,8 @@
 	ready, control    netip.AddrPort
 	app               netip.AddrPort
 	settings, data    string
+	// service is that of the target on the machine, as its settings name it.
+	service string
 
 	lock    sync.Mutex
 	command *exec.Cmd
@@ -58,6 +73,7 @@
 	entries  []*node
 	sides    []*node
 	route    netip.AddrPort
+	other    netip.AddrPort
 	router   *router
 	client   *client
 	version  int
@@ -87,7 +103,7 @@
 	for i := range s.sides {
 		d.sides = append(d.sides, d.newNode("side", i))
 	}
-	d.route = netip.AddrPortFrom(d.address(51), 8443)
+	d.route, d.other = netip.AddrPortFrom(d.address(51), port), netip.AddrPortFrom(d.address(51), otherPort)
 	d.router = &router{record: r, nodes: d.entries, misses: make(map[*node]int), out: make(map[*node]bool)}
 	d.client, err = newClient(r, d.router, netip.AddrPortFrom(d.address(41), d.port))
 	return d, err
@@ -135,7 +151,7 @@
 var firstAddress = map[string]byte{"core": 11, "front": 21, "side": 31}
 
 func (d *deployment) newNode(class string, i int) *node {
-	n := &node{class: class, zone: zones[i%len(zones)], address: d.address(firstAddress[class] + byte(i))}
+	n := &node{class: class, zone: zones[i%len(zones)], address: d.address(firstAddress[class] + byte(i)), service: service}
 	n.name = fmt.Sprintf("%s-%s-%d", class, n.zone, i/len(zones)+1)
 	at := func(offset uint16) netip.AddrPort { return netip.AddrPortFrom(n.address, d.port+offset) }
 	n.packets, n.outbound, n.ready, n.control, n.app = at(0), at(offsetOutbound), at(offsetReady), at(offsetControl), at(offsetApp)
@@ -165,7 +181,7 @@
 		line("dataDir = %q", n.data)
 	}
 	if n.class == "side" {
-		line("app = %q\nservice = %q", n.app, service)
+		line("app = %q\nservice = %q", n.app, n.service)
 	}
 	line("[zones]")
 	for _, z := range zones {
@@ -263,6 +279,12 @@
 	}
 }
 
+// kill kills the node's process.
+func (d *deployment) kill(n *node) {
+	d.signal(n, syscall.SIGKILL)
+	<-n.ended
+}
+
 // restart stops the node's process by SIGTERM, as planned work does, and starts it again.
 func (d *deployment) restart(n *node) error {
 	d.signal(n, syscall.SIGTERM)
@@ -317,14 +339,19 @@
 // configure submits the next configuration until a control instance acknowledges it.
 func (d *deployment) configure(ctx context.Context) error {
 	d.version++
+	var routes, services []any
+	for _, r := range []netip.AddrPort{d.route, d.other} {
+		routes = append(routes, map[string]any{
+			"name": "r-" + serviceOf(r), "host": r.Addr().String(), "prefix": fmt.Sprintf("/%d/", r.Port()), "type": "safe", "timeoutMs": 1500,
+			"latencySloMs": 150, "priority": 2, "service": serviceOf(r), "attempts": 2,
+		})
+		services = append(services, map[string]any{
+			"name": serviceOf(r), "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false, "coldS": 2.0, "coldPerS": 0.0,
+		})
+	}
 	body, err := json.Marshal(map[string]any{
-		"version": d.version,
-		"routes": []any{map[string]any{
-			"name": "r-stock-feed", "host": d.route.Addr().String(), "prefix": fmt.Sprintf("/%d/", d.route.Port()), "type": "safe", "timeoutMs": 1500,
-			"latencySloMs": 150, "priority": 2, "service": service, "attempts": 2,
-		}},
-		"services": []any{map[string]any{"name": service, "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false, "coldS": 2.0, "coldPerS": 0.0}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": idleTimeout.Milliseconds()},
+		"version": d.version, "routes": routes, "services": services,
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": idleTimeout.Milliseconds()},
 	})
 	if err != nil {
 		return err
