--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -124,7 +123,7 @@
 	}
 	if trouble {
 		awaitListener(ctx, d.sides[0])
-		status, err := callHTTP(ctx, http.MethodPut, "http://"+d.sides[0].control.String()+"/zinniapulley/instances/"+earlier.id, delayed)
+		status, err := callHTTP(ctx, http.MethodPut, "http://"+d.sides[0].control.String()+names.Instances+earlier.id, delayed)
 		r.add("heartbeat of %s arrives %v late -> %d %v", earlier.id, time.Since(sent), status, err)
 	}
 	sleep(ctx, contactTime+3*time.Second)
@@ -190,7 +189,7 @@
 	}
 	awaitListener(ctx, reused)
 	if trouble {
-		status, err := callHTTP(ctx, http.MethodPut, "http://"+reused.control.String()+"/zinniapulley/instances/"+earlier.id, delayed)
+		status, err := callHTTP(ctx, http.MethodPut, "http://"+reused.control.String()+names.Instances+earlier.id, delayed)
 		r.add("heartbeat of %s arrives %v late -> %d %v", earlier.id, time.Since(sent), status, err)
 	}
 	var requests sync.WaitGroup
@@ -233,10 +232,13 @@
 	}
 	sleep(ctx, contactTime)
 	if trouble {
-		foreign := target{incarnation: incarnation{id: "i-foreign", service: service}, node: d.sides[0], born: time.Now().UnixMilli()}
-		body := foreign.body("version", "coldLeftMs")
-		status, err := callHTTP(ctx, http.MethodPut, "http://"+d.sides[0].control.String()+"/zinniapulley/instances/"+foreign.id, body)
-		r.add("heartbeat of another writer: %s -> %d %v", strings.TrimSpace(body), status, err)
+		foreign := target{incarnation: incarnation{id: "i-foreign", service: service}, record: r, node: d.sides[0], born: time.Now().UnixMilli()}
+		body, err := incomplete(foreign.body())
+		if err != nil {
+			return false, err
+		}
+		status, err := callHTTP(ctx, http.MethodPut, "http://"+d.sides[0].control.String()+names.Instances+foreign.id, body)
+		r.add("heartbeat of another writer: %s -> %d %v", body, status, err)
 	}
 	sleep(ctx, time.Second)
 	return checkFlows(r, flows, t)
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -34,7 +34,7 @@
 func (r *router) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, n := range r.nodes {
-			status, _ := callHTTP(ctx, http.MethodGet, "http://"+n.ready.String()+"/zinniapulley/ready", "")
+			status, _ := callHTTP(ctx, http.MethodGet, "http://"+n.ready.String()+names.Ready, "")
 			r.lock.Lock()
 			was := r.out[n]
 			if status == http.StatusOK {
@@ -156,7 +156,7 @@
 
 // request sends a request on the flow and waits for its answer.
 func (f *clientFlow) request(id string, deadline time.Duration) error {
-	data := []byte(fmt.Sprintf("GET / HTTP/1.1\r\nHost: route\r\n%s%s\r\n\r\n", requestHeader, id))
+	data := []byte(fmt.Sprintf("GET / HTTP/1.1\r\nHost: route\r\n%s%s\r\n\r\n", names.RequestHeader, id))
 	var until []time.Duration
 	for at, pause := time.Duration(0), 200*time.Millisecond; at < deadline; pause = min(2*pause, 1600*time.Millisecond) {
 		at += pause
@@ -209,7 +209,7 @@
 }
 
 func sealOf(data []byte) string {
-	const header = "X-Zinniapulley-Server-Seal: "
+	header := names.SealHeader
 	for line := range splitLines(data) {
 		if len(line) > len(header) && line[:len(header)] == header {
 			return line[len(header):]
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"iter"
 	"math/rand/v2"
@@ -164,43 +163,22 @@
 
 // writeSettings writes the node's settings file.
 func (d *deployment) writeSettings(n *node, bootstrap bool) error {
-	var text strings.Builder
-	line := func(format string, arguments ...any) { _, _ = fmt.Fprintf(&text, format+"\n", arguments...) }
-	serves := map[string]string{"core": "control", "front": "front", "side": "side"}[n.class]
-	line("nodeName = %q\nrole = %q\nmachineClass = %q\nserves = [%q]", n.name, n.class, n.class, serves)
-	line("ip = %q\nzone = %q\nregion = \"sul\"", n.address, n.zone)
-	line("internalPorts = [%d,%d]", d.port+offsetInternal, d.port+portCount-1)
-	var seeds []string
-	for _, c := range d.controls[:3] {
-		seeds = append(seeds, fmt.Sprintf("%q", c.control))
-	}
-	line("seeds = [%s]\nbootstrap = %t\nlossCounts = %t", strings.Join(seeds, ","), bootstrap, n.class == "core")
-	line("discovery = \"local\"\nentry = \"announce\"\nheartbeatMs = %d", heartbeatInterval.Milliseconds())
-	line("contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"flows\",\"places\"]\nconfig_mode = \"highest\"\nhash = \"steady\"\nforwardingMode = \"agent\"")
-	if n.data != "" {
-		line("dataDir = %q", n.data)
+	values := settings{
+		Name: n.name, Class: n.class, Serves: n.class, Zone: n.zone, Service: n.service, Data: n.data, Address: n.address,
+		FirstPort: d.port + offsetInternal, LastPort: d.port + portCount - 1, Bootstrap: bootstrap, HeartbeatMs: heartbeatInterval.Milliseconds(),
+		Zones: zones, Packets: n.packets, Outbound: n.outbound, Ready: n.ready, Control: n.control, App: n.app,
 	}
-	if n.class == "side" {
-		line("app = %q\nservice = %q", n.app, n.service)
+	if n.class == "core" {
+		values.Serves = "control"
 	}
-	line("[zones]")
-	for _, z := range zones {
-		line("%s = \"sul\"", z)
+	for _, c := range d.controls[:3] {
+		values.Seeds = append(values.Seeds, c.control)
 	}
-	line("[listen]")
-	switch n.class {
-	case "core":
-		line("control = %q", n.control)
-	case "front":
-		line("packetAddr = %q\nready = %q", n.packets, n.ready)
-	case "side":
-		line("packetAddr = %q\noutbound = %q\nready = %q\ncontrol = %q", n.packets, n.outbound, n.ready, n.control)
+	text, err := values.file()
+	if err != nil {
+		return err
 	}
-	line("[limits]\ncpuShare = 0.4\ncores = 1\nmemoryMb = 284\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 128")
-	line("[faultTolerance]\nmachines = 1\nzones = 1\nregions = 0")
-	line("[bounds]\nseedLagS = 3\nreuseAfterS = 2\ncontactMs = 4000\nackMs = 5000\ncatchUpS = 4\ndrainMs = 3000\ngraceS = 6\nlossSlackMs = 200")
-	line("configPropagationMs = 3000\nrollbackSlackMs = 250\nmaxSkewMs = 12000\ncoldFactor = 1.5\ncoldSlack = 5\nevacuateMs = 5000\nrecoveryS = 12\nflowMs = 2000\nmaxFlowS = 60")
-	return os.WriteFile(n.settings, []byte(text.String()), 0o600)
+	return os.WriteFile(n.settings, []byte(text+"\n"), 0o600)
 }
 
 // readCommands returns the command line of each class of machines from the deploy file.
@@ -249,7 +227,7 @@
 	}
 	words := d.commands[n.class]
 	command := exec.Command(words[0], words[1:]...)
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "ZINNIAPULLEY_SETTINGS=" + n.settings}
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), names.SettingsVariable + "=" + n.settings}
 	command.Stdout, command.Stderr = log, log
 	err = command.Start()
 	if err != nil {
@@ -339,26 +317,17 @@
 // configure submits the next configuration until a control instance acknowledges it.
 func (d *deployment) configure(ctx context.Context) error {
 	d.version++
-	var routes, services []any
+	next := configuration{Version: d.version, IdleTimeout: idleTimeout.Milliseconds()}
 	for _, r := range []netip.AddrPort{d.route, d.other} {
-		routes = append(routes, map[string]any{
-			"name": "r-" + serviceOf(r), "host": r.Addr().String(), "prefix": fmt.Sprintf("/%d/", r.Port()), "type": "safe", "timeoutMs": 1500,
-			"latencySloMs": 150, "priority": 2, "service": serviceOf(r), "attempts": 2,
-		})
-		services = append(services, map[string]any{
-			"name": serviceOf(r), "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false, "coldS": 2.0, "coldPerS": 0.0,
-		})
+		next.Routes = append(next.Routes, routeEntry{Service: serviceOf(r), Host: r.Addr(), Port: r.Port()})
 	}
-	body, err := json.Marshal(map[string]any{
-		"version": d.version, "routes": routes, "services": services,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": idleTimeout.Milliseconds()},
-	})
+	body, err := next.body()
 	if err != nil {
 		return err
 	}
 	for i := 0; ctx.Err() == nil; i++ {
 		at := d.controls[i%len(d.controls)]
-		status, err := callHTTP(ctx, http.MethodPut, "http://"+at.control.String()+"/zinniapulley/config", string(body))
+		status, err := callHTTP(ctx, http.MethodPut, "http://"+at.control.String()+names.Configuration, body)
 		d.record.add("operator: version %d at %s -> %d %v", d.version, at.name, status, err)
 		if status == http.StatusOK {
 			return nil
--- a/review/standin-2/evac.go
+++ b/review/standin-2/evac.go
@@ -59,7 +59,7 @@
 // acknowledges it.
 func (o *operator) order(ctx context.Context, method string, first int) error {
 	for i := range 12 {
-		if o.call(ctx, method, (first+i)%len(o.links), "/zinniapulley/evacuations/"+evacuated) {
+		if o.call(ctx, method, (first+i)%len(o.links), names.Evacuations+evacuated) {
 			return nil
 		}
 		sleep(ctx, 100*time.Millisecond)
@@ -89,7 +89,7 @@
 	}
 	sleep(ctx, 6*time.Second)
 	// The operator reads the configuration, and its connection stays open.
-	if !o.call(ctx, http.MethodGet, 0, "/zinniapulley/config") {
+	if !o.call(ctx, http.MethodGet, 0, names.Configuration) {
 		return false, fmt.Errorf("the configuration was not read")
 	}
 	if trouble {
--- a/review/standin-2/read.go
+++ b/review/standin-2/read.go
@@ -79,7 +79,7 @@
 // read reads the configuration at a control instance and returns its version, zero if there
 // was no answer.
 func read(ctx context.Context, c *http.Client, at *node) int {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.control.String()+"/zinniapulley/config", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.control.String()+names.Configuration, nil)
 	if err != nil {
 		return 0
 	}
--- a/review/standin-2/target.go
+++ b/review/standin-2/target.go
@@ -39,12 +39,11 @@
 	health   net.Listener
 	stop     context.CancelFunc
 
-	lock     sync.Mutex
-	flows    map[flowKey]*targetFlow
-	number   int
-	draining bool
-	alive    bool
-	beatAt   time.Time
+	lock   sync.Mutex
+	flows  map[flowKey]*targetFlow
+	number int
+	alive  bool
+	beatAt time.Time
 	// foreign lists the flows that it took of routes of another service.
 	foreign []flowKey
 }
@@ -93,36 +92,18 @@
 	_ = t.health.Close()
 }
 
-// body returns the next heartbeat's body, without the fields left out.
-func (t *target) body(leftOut ...string) string {
+// body returns the next heartbeat's body.
+func (t *target) body() string {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	t.number++
-	state := "ready"
-	if t.draining {
-		state = "draining"
-	}
-	fields := []string{
-		fmt.Sprintf(`"service":%q`, t.service), fmt.Sprintf(`"address":%q`, t.node.app), fmt.Sprintf(`"zone":%q`, t.node.zone), `"version":"v1"`,
-		fmt.Sprintf(`"slots":%d`, slots), fmt.Sprintf(`"state":%q`, state), `"coldLeftMs":0`, fmt.Sprintf(`"seq":%d`, t.number), fmt.Sprintf(`"born":%d`, t.born),
-	}
-	var kept []string
-	for _, field := range fields {
-		name, _, _ := strings.Cut(strings.Trim(field, `"`), `"`)
-		if !contains(leftOut, name) {
-			kept = append(kept, field)
-		}
-	}
-	return "{" + strings.Join(kept, ",") + "}"
-}
-
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
+	body, err := heartbeat{
+		Service: t.service, Zone: t.node.zone, State: "ready", Address: t.node.app, Slots: slots, Number: t.number, Born: t.born,
+	}.body()
+	if err != nil {
+		t.record.add("heartbeat of %s not encoded: %v", t.id, err)
 	}
-	return false
+	return body
 }
 
 // beat sends a heartbeat at once and then at the interval of the settings, and sends one
@@ -143,7 +124,7 @@
 }
 
 func (t *target) put(ctx context.Context, body string) bool {
-	status, err := callHTTP(ctx, http.MethodPut, "http://"+t.node.control.String()+"/zinniapulley/instances/"+t.id, body)
+	status, err := callHTTP(ctx, http.MethodPut, "http://"+t.node.control.String()+names.Instances+t.id, body)
 	t.record.add("heartbeat of %s: %s -> %d %v", t.id, body, status, err)
 	t.lock.Lock()
 	t.beatAt = time.Now()
@@ -230,7 +211,7 @@
 func (t *target) answer(key flowKey, f *targetFlow, id string) {
 	t.lock.Lock()
 	body := "done " + id
-	data := []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Zinniapulley-Server-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", t.id, len(body), body))
+	data := []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\n%s%s\r\nContent-Length: %d\r\n\r\n%s", names.SealHeader, t.id, len(body), body))
 	p := packet{source: key.route, dest: key.client, flags: flagAck, seq: f.next, ack: f.received, data: data}
 	f.next += uint32(len(data))
 	end := f.next
@@ -253,10 +234,8 @@
 
 func (t *target) send(p packet) { _, _ = t.conn.WriteToUDPAddrPort(p.encode(), t.outbound) }
 
-const requestHeader = "X-Zinniapulley-Request-Id: "
-
 func requestID(data []byte) string {
-	_, after, _ := bytes.Cut(data, []byte(requestHeader))
+	_, after, _ := bytes.Cut(data, []byte(names.RequestHeader))
 	id, _, _ := bytes.Cut(after, []byte("\r\n"))
 	return string(id)
 }
