--- a/roles/control/control.go
+++ b/roles/control/control.go
@@ -76,6 +76,8 @@
 	loop       *loop.Loop[event]
 	rpc        *wire.Server
 	heartbeats *net.UDPConn
+	// orderMetrics is safe for concurrent use.
+	orderMetrics orderMetrics
 }
 
 // event is an event of the control goroutine.
@@ -85,7 +87,7 @@
 
 // New opens the sockets. Calls are answered once Run is called.
 func New(config Config) (*Server, error) {
-	s := &Server{config: config, loop: loop.New[event](mailboxSize)}
+	s := &Server{config: config, loop: loop.New[event](mailboxSize), orderMetrics: newOrderMetrics(config.Metrics)}
 	var err error
 	s.rpc, err = wire.Listen(config.RPC)
 	if err != nil {
--- a/roles/control/handler.go
+++ b/roles/control/handler.go
@@ -121,7 +121,7 @@
 	if h.restoring {
 		return result
 	}
-	h.server.config.Log.Info("command applied", "changed", result.Changed, "version", result.Version, "revision", result.Revision,
+	h.server.config.Log.Info("command applied", "changed", result.Changed, "overtaken", result.Overtaken, "version", result.Version, "revision", result.Revision,
 		"routes", len(h.state.Configuration.Routes), "out", h.state.Out)
 	return result
 }
--- a/roles/control/orders.go
+++ b/roles/control/orders.go
@@ -21,11 +21,6 @@
 	return s.submit(ctx, route.Command{Configure: &configuration})
 }
 
-// SetDataCentre takes a data centre out of service or returns it to service.
-func (s *Server) SetDataCentre(ctx context.Context, change route.SetDataCentre) (route.Result, error) {
-	return s.submit(ctx, route.Command{DataCentre: &change})
-}
-
 func (s *Server) submit(ctx context.Context, command route.Command) (route.Result, error) {
 	encoded, err := encodeCommand(command)
 	if err != nil {
@@ -85,7 +80,8 @@
 }
 
 // atLeader repeats the attempt until the leader has answered or submitTimeout has
-// passed. All commands are idempotent, so that repeating them is safe.
+// passed. Repeated and late commands are safe: configurations have versions, orders on
+// data centres have numbers.
 func (s *Server) atLeader(ctx context.Context, step core.Step, attempt func(context.Context) (refusal, error)) error {
 	limited, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
--- a/route/state.go
+++ b/route/state.go
@@ -31,10 +31,16 @@
 
 func compareCompanion(c Companion, address netip.AddrPort) int { return c.Address.Compare(address) }
 
-// SetDataCentre takes a data centre out of service or returns it to service.
+// SetDataCentre is an order that takes a data centre out of service or returns it to
+// service. Orders on one data centre don't commute: one that arrives late would undo a
+// newer one.
 type SetDataCentre struct {
 	Name core.DataCentre
 	Out  bool
+	// Number is the order's place among the orders on the data centre, from 1. An order
+	// that would change the state is overtaken unless it is the next one. The orders of
+	// earlier program versions have no number; they are always carried out.
+	Number uint64
 }
 
 // Result is the effect of a command.
@@ -45,6 +51,11 @@
 	Changed bool
 	// Revision numbers the state after the command.
 	Revision core.Revision
+	// Overtaken reports that an order wasn't carried out, since it wasn't the next one
+	// on its data centre.
+	Overtaken bool
+	// Orders is the number of the last order on the command's data centre.
+	Orders uint64
 }
 
 // State is the replicated state. Its exported fields form the snapshot.
@@ -53,6 +64,9 @@
 	Configuration Configuration
 	// Out lists the data centres that are out of service, sorted by name.
 	Out []core.DataCentre
+	// Orders is the number of the last order on each data centre. It includes orders
+	// that changed nothing, which were acknowledged all the same.
+	Orders map[core.DataCentre]uint64
 	// Companions lists the companions that may hold flows, ordered by address.
 	Companions []Companion
 }
@@ -63,19 +77,20 @@
 
 // Apply executes a command. A configuration that isn't newer changes nothing.
 func (s *State) Apply(command Command) Result {
-	changed := false
+	var result Result
 	switch {
 	case command.Configure != nil:
-		changed = s.configure(*command.Configure)
+		result.Changed = s.configure(*command.Configure)
 	case command.DataCentre != nil:
-		changed = s.setDataCentre(*command.DataCentre)
+		result = s.order(*command.DataCentre)
 	case command.Companions != nil:
-		changed = s.setCompanions(*command.Companions)
+		result.Changed = s.setCompanions(*command.Companions)
 	}
-	if changed {
+	if result.Changed {
 		s.Revision++
 	}
-	return Result{Version: s.Configuration.Version, Changed: changed, Revision: s.Revision}
+	result.Version, result.Revision = s.Configuration.Version, s.Revision
+	return result
 }
 
 func (s *State) configure(next Configuration) bool {
@@ -117,6 +132,28 @@
 	return former
 }
 
+// order carries out an order on a data centre unless it was overtaken.
+func (s *State) order(command SetDataCentre) Result {
+	last := s.Orders[command.Name]
+	if command.Number == 0 {
+		return Result{Changed: s.setDataCentre(command), Orders: last}
+	}
+	if command.Number != last+1 && s.IsOut(command.Name) != command.Out {
+		return Result{Overtaken: true, Orders: last}
+	}
+	if s.Orders == nil {
+		s.Orders = make(map[core.DataCentre]uint64)
+	}
+	s.Orders[command.Name] = last + 1
+	return Result{Changed: s.setDataCentre(command), Orders: last + 1}
+}
+
+// IsOut reports whether a data centre is out of service.
+func (s *State) IsOut(name core.DataCentre) bool {
+	_, out := slices.BinarySearch(s.Out, name)
+	return out
+}
+
 func (s *State) setDataCentre(command SetDataCentre) bool {
 	index, out := slices.BinarySearch(s.Out, command.Name)
 	if out == command.Out {
--- a/route/state_test.go
+++ b/route/state_test.go
@@ -96,3 +96,46 @@
 	g.Expect(apply(route.SetCompanions{Remove: []netip.AddrPort{a.Address}})).To(gomega.BeTrue())
 	g.Expect(state.Companions).To(gomega.Equal([]route.Companion{b}))
 }
+
+// A late order undid newer ones: orders on a data centre don't commute. Model: an order
+// with an effect is carried out only right after the one that it was numbered by.
+func TestOvertakenOrdersChangeNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var state route.State
+		last := map[core.DataCentre]uint64{}
+		out := map[core.DataCentre]bool{}
+		for range rapid.IntRange(1, 30).Draw(t, "orders") {
+			order := route.SetDataCentre{
+				Name: rapid.SampledFrom([]core.DataCentre{"a", "b"}).Draw(t, "name"),
+				Out:  rapid.Bool().Draw(t, "out"),
+			}
+			order.Number = 1 + rapid.Uint64Range(0, last[order.Name]+1).Draw(t, "number")
+			next := order.Number == last[order.Name]+1
+			overtaken := !next && out[order.Name] != order.Out
+			changed := next && out[order.Name] != order.Out
+			result := state.Apply(route.Command{DataCentre: &order})
+			if !overtaken {
+				last[order.Name]++
+				out[order.Name] = order.Out
+			}
+			if result.Overtaken != overtaken || result.Changed != changed || result.Orders != last[order.Name] {
+				t.Fatalf("%+v gave %+v", order, result)
+			}
+			if state.IsOut(order.Name) != out[order.Name] {
+				t.Fatalf("after %+v the data centre is out: %v", order, state.IsOut(order.Name))
+			}
+		}
+	})
+}
+
+// Orders of earlier program versions have no number. Members that read them from a
+// snapshot and members that read them from the log must agree on all numbers.
+func TestOrdersWithoutNumberAreCarriedOutAndNotCounted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var state route.State
+	result := state.Apply(route.Command{DataCentre: &route.SetDataCentre{Name: "a", Out: true}})
+	g.Expect(result.Changed).To(gomega.BeTrue())
+	g.Expect(result.Orders).To(gomega.BeZero())
+	result = state.Apply(route.Command{DataCentre: &route.SetDataCentre{Name: "a", Number: 1}})
+	g.Expect(result.Changed).To(gomega.BeTrue())
+}
