Confirm no heartbeat round by a reply to an earlier term

A follower is frozen while the leader restarts by plan and is elected again. Later the leader is frozen, and the others accept a new configuration. Reads sent to the frozen leader 3.3 s after the acknowledgement are answered, when it wakes, with the configuration of before.

Cause: a read waits until a quorum has confirmed a heartbeat round that was begun after it, and each term counts its rounds from 1. The reply to a heartbeat of an earlier term carried the present term and the earlier term's round. Ruled out: confirmations of before the freeze, since the round was begun after it; forwarded reads; the time at which the leader steps down.

Change: the reply to a message of an earlier term confirms no round.

--- a/consensus/follower.go
+++ b/consensus/follower.go
@@ -63,9 +63,11 @@
 // acceptLeader records the sender as the leader of its term. It reports false if the
 // term is stale, after a reply with the current term, or if too many messages wait for
 // the disk.
-func (c *Core) acceptLeader(m Message, round uint64) bool {
+func (c *Core) acceptLeader(m Message) bool {
 	if m.Term < c.hardState.Term {
-		c.sendAfterPersist(m.From, c.hardState.Term, AppendReply{Round: round})
+		// The reply confirms no round: each term counts its own, and the sender may lead
+		// the present term too.
+		c.sendAfterPersist(m.From, c.hardState.Term, AppendReply{})
 		return false
 	}
 	if len(c.disk.waiting) >= c.config.MaxPendingMessages {
@@ -78,7 +80,7 @@
 }
 
 func (c *Core) receiveAppend(m Message, body Append) {
-	if !c.acceptLeader(m, body.Round) {
+	if !c.acceptLeader(m) {
 		return
 	}
 	term, known := c.log.term(body.PrevIndex)
@@ -132,7 +134,7 @@
 }
 
 func (c *Core) receiveSnapshot(m Message, body InstallSnapshot) {
-	if !c.acceptLeader(m, body.Round) {
+	if !c.acceptLeader(m) {
 		return
 	}
 	snapshot := body.Snapshot
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -49,7 +49,9 @@
 	// RejectedPrev is the PrevIndex that didn't match, if not Accepted.
 	RejectedPrev Index
 	// Hint is the index from which the leader should send next, if not Accepted.
-	Hint  Index
+	Hint Index
+	// Round is that of the message, or zero if the message is of an earlier term than
+	// the reply.
 	Round uint64
 }
 
