Let processes stand still in the model of the replicated log

After each event the model also checks that no leader counts a round as confirmed that it hasn't begun.

--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -20,10 +20,13 @@
 
 // node is one instance of the cluster with a disk that loses unsynced writes.
 type node struct {
-	id       MemberID
-	up       bool
-	core     *Core
-	disk     Stored
+	id   MemberID
+	up   bool
+	core *Core
+	disk Stored
+	// frozen is set while the process stands still. Its events wait in held.
+	frozen   bool
+	held     []Event
 	unsynced []Persist
 	// index and hash are the state machine: the last applied index and a hash over
 	// all applied entries.
@@ -102,6 +105,7 @@
 // start starts a node from the content of its disk.
 func (c *cluster) start(n *node) {
 	n.up = true
+	n.frozen, n.held = false, nil
 	n.unsynced = nil
 	n.index = n.disk.Snapshot.Index
 	n.hash = c.committed[n.index].hash
@@ -119,10 +123,22 @@
 		n.store(persist)
 	}
 	n.up = false
+	n.frozen, n.held = false, nil
 	n.unsynced = nil
 	n.core = nil
 }
 
+// thaw lets a frozen node handle the events that have waited, in any order, since they
+// come from several connections and timers.
+func (c *cluster) thaw(n *node, random *rand.Rand) {
+	held := append(n.held, DeadlineReached{})
+	n.frozen, n.held = false, nil
+	random.Shuffle(len(held), func(i, j int) { held[i], held[j] = held[j], held[i] })
+	for _, event := range held {
+		c.handle(n, event)
+	}
+}
+
 // wipe restarts a node with an empty disk under a new incarnation.
 func (c *cluster) wipe(n *node) {
 	c.lostDisks[n.id] = true
@@ -166,14 +182,31 @@
 }
 
 // handle passes an event to a node, carries out the actions and checks the safety
-// properties.
+// properties. The events of a frozen node wait.
 func (c *cluster) handle(n *node, event Event) {
+	if n.frozen {
+		n.held = append(n.held, event)
+		return
+	}
 	actions := n.core.Handle(c.now, event)
 	c.recordCommitted(n)
 	for _, action := range actions {
 		c.carryOut(n, action)
 	}
 	c.checkLogs()
+	c.checkRounds(n)
+}
+
+// checkRounds checks that no member has confirmed a round that the leader hasn't begun.
+func (c *cluster) checkRounds(n *node) {
+	if n.core.role != Leader {
+		return
+	}
+	for member, p := range n.core.leaderState.progress {
+		if p.round > n.core.leaderState.round {
+			c.t.Fatalf("%s has begun round %d, but counts %d as confirmed by %s", n.id, n.core.leaderState.round, p.round, member)
+		}
+	}
 }
 
 func (c *cluster) carryOut(n *node, action Action) {
@@ -325,7 +358,7 @@
 func (c *cluster) advance(by time.Duration) {
 	c.now = c.now.Add(by)
 	for _, n := range c.nodes {
-		if !n.up {
+		if !n.up || n.frozen {
 			continue
 		}
 		due, ok := n.core.Deadline()
@@ -447,10 +480,23 @@
 			entries = append(entries, n.core.log.entries...)
 		}
 	}
-	for _, m := range c.network {
+	for _, m := range c.messages() {
 		if body, ok := m.Body.(Append); ok {
 			entries = append(entries, body.Entries...)
 		}
 	}
 	return entries
 }
+
+// messages returns all messages in flight, and those that wait for frozen nodes.
+func (c *cluster) messages() []Message {
+	messages := slices.Clone(c.network)
+	for _, n := range c.nodes {
+		for _, event := range n.held {
+			if received, ok := event.(Received); ok {
+				messages = append(messages, received.Message)
+			}
+		}
+	}
+	return messages
+}
--- a/consensus/model_test.go
+++ b/consensus/model_test.go
@@ -10,8 +10,8 @@
 )
 
 // TestSafetyAndRecoveryUnderFaults runs three to five cores with lost, duplicated,
-// reordered and delayed messages, one-way partitions, crashes that lose unsynced
-// writes, lost disks, snapshots and membership changes. The cluster checks election
+// reordered and delayed messages, one-way partitions, processes that stand still, crashes
+// that lose unsynced writes, lost disks, snapshots and membership changes. The cluster checks election
 // safety, log matching, leader completeness, state machine safety and
 // linearizable reads after every event. At the end the faults stop, and the group
 // must elect a leader, commit a proposal and converge.
@@ -30,6 +30,8 @@
 			"restart":  m.restart,
 			"restart2": m.restart,
 			"stop":     m.stop,
+			"freeze":   m.freeze,
+			"thaw":     m.thaw,
 			"wipe":     m.wipe,
 			"join":     m.join,
 			"remove":   m.remove,
@@ -123,6 +125,17 @@
 	m.c.start(n)
 }
 
+// freeze makes a process stand still.
+func (m *modelActions) freeze(t *rapid.T) { m.pick(t).frozen = true }
+
+func (m *modelActions) thaw(t *rapid.T) {
+	n := m.pick(t)
+	if !n.frozen {
+		t.Skip("node isn't frozen")
+	}
+	m.c.thaw(n, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2)))
+}
+
 func (m *modelActions) wipe(t *rapid.T) {
 	n := m.c.nodes[rapid.IntRange(0, len(m.c.nodes)-1).Draw(t, "node")]
 	if !m.c.canWipe(n) {
@@ -172,8 +185,11 @@
 func (c *cluster) mustRecover() {
 	c.heal()
 	for _, n := range c.nodes {
-		if !n.up {
+		switch {
+		case !n.up:
 			c.start(n)
+		case n.frozen:
+			c.thaw(n, rand.New(rand.NewPCG(1, 2)))
 		}
 	}
 	for range 4 * len(c.nodes) {
