Confirm operators' orders of the terminating front end with their senders

A request to put a data centre in or out of service, or to drain a backend server, was carried out though its sender had given up, and undid a newer one. Submissions name the revision that they change, and are not affected.

Change: both kinds of request wait for loop.Confirm before they are proposed. Numbers aren't needed here: one instance orders all commands, so that a newer order is proposed after the one that was confirmed before it.

--- a/control/operator_control.go
+++ b/control/operator_control.go
@@ -80,7 +80,7 @@
 
 // SetDataCentre takes a data centre out of service or puts it back.
 func (o operators) SetDataCentre(ctx context.Context, token string, request operator.SetDataCentre) (operator.Accepted, error) {
-	return o.command(ctx, token, func(team core.Team, at time.Time) state.Command {
+	return o.order(ctx, token, func(team core.Team, at time.Time) state.Command {
 		return state.Command{SetDataCentre: &config.SetDataCentre{
 			Name: request.Name, State: request.State, Request: request.RequestID, Team: team, At: at,
 		}}
@@ -89,11 +89,22 @@
 
 // Drain starts or ends draining of a backend server.
 func (o operators) Drain(ctx context.Context, token string, request operator.Drain) (operator.Accepted, error) {
-	return o.command(ctx, token, func(team core.Team, _ time.Time) state.Command {
+	return o.order(ctx, token, func(team core.Team, _ time.Time) state.Command {
 		return state.Command{Drain: &state.Drain{Instance: request.Instance, Drain: request.Drain, Team: team}}
 	})
 }
 
+// order is command for a request that would undo a newer one if it were carried out late:
+// it first checks that the sender still waits. Submissions name the revision that they
+// change.
+func (o operators) order(ctx context.Context, token string, build func(core.Team, time.Time) state.Command) (operator.Accepted, error) {
+	err := loop.Confirm(ctx)
+	if err != nil {
+		return operator.Accepted{}, operatorError(err)
+	}
+	return o.command(ctx, token, build)
+}
+
 // command has the control loop propose the command that build returns for the
 // token's team.
 func (o operators) command(ctx context.Context, token string, build func(core.Team, time.Time) state.Command) (operator.Accepted, error) {
