Send orders that arrive late in the soak

A sender takes a data centre without instances out of service and back. Of some orders the last byte is delivered only after a newer one was acknowledged, and the end of the connection up to 50 ms later. The soak checks that no later state undoes the newest order, and at the end that it is in effect at all control instances.

--- a/roles/control/datacentre.go
+++ b/roles/control/datacentre.go
@@ -42,7 +42,7 @@
 		log.Warn("number of the last order on the data centre not known", "error", err)
 	}
 	for {
-		if !known.hasEffect(change.Out) {
+		if !known.inEffect(change.Out) {
 			err = loop.Confirm(limited)
 			if err != nil {
 				s.orderMetrics.abandoned.Inc(1)
@@ -67,13 +67,14 @@
 type knownOrders struct {
 	// last is the number of the last order.
 	last uint64
-	// current is set if out is the state that the last order left.
-	current bool
-	out     bool
+	// hasState is set if the instance has a state, of which out is part.
+	hasState bool
+	// out reports whether the data centre is out of service.
+	out bool
 }
 
-// hasEffect reports whether the state that an order requests is already in effect.
-func (k knownOrders) hasEffect(out bool) bool { return k.current && k.out == out }
+// inEffect reports whether an order changes nothing, as far as the instance knows.
+func (k knownOrders) inEffect(out bool) bool { return k.hasState && k.out == out }
 
 // ordersQuery requests the knownOrders of a data centre.
 type ordersQuery struct {
@@ -82,5 +83,5 @@
 }
 
 func (e ordersQuery) handle(h *handler, _ time.Time) {
-	e.reply.Answer(knownOrders{last: h.state.Orders[e.name], current: h.state.Revision > 0, out: h.state.IsOut(e.name)})
+	e.reply.Answer(knownOrders{last: h.state.Orders[e.name], hasState: h.state.Revision > 0, out: h.state.IsOut(e.name)})
 }
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -135,7 +135,7 @@
 		name: name, role: role, file: filepath.Join(d.options.Folder, name+".toml"), data: filepath.Join(d.options.Folder, name),
 		settings: platformtest.Settings{
 			Instance: core.InstanceID(name), Address: address, DataCentre: zoneOf(i), Seeds: d.seedHosts(), First: true,
-			AnnounceInterval: announceInterval, DataCentres: []core.DataCentre{zoneOf(0), zoneOf(1)},
+			AnnounceInterval: announceInterval, DataCentres: []core.DataCentre{zoneOf(0), zoneOf(1), ordersDataCentre},
 		},
 	}
 	switch role {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -3,8 +3,8 @@
 // view of callers, backend servers and operators.
 //
 // A seed decides which processes are killed, paused, stopped or lose their disk,
-// when operators change the configuration, and when backend servers drain or
-// restart. Meanwhile jobs of two priorities compete for servers that run few at once,
+// when operators change the configuration or take a data centre out of service, and when
+// backend servers drain or restart. Meanwhile jobs of two priorities compete for servers that run few at once,
 // get more than that for some seconds, become slow, and get callers of another data
 // centre. Faults overlap. A seed repeats the faults, but since processes run in real
 // time not the order of all packets.
@@ -49,8 +49,8 @@
 	// Faults lists the injected faults, in order.
 	Faults []string
 	// Flows counts the flows opened, Requests the requests answered, ConfigChanges
-	// the configuration changes acknowledged.
-	Flows, Requests, ConfigChanges int
+	// the configuration changes acknowledged, Orders the orders on a data centre that were.
+	Flows, Requests, ConfigChanges, Orders int
 	// Urgent and Ordinary count the attempts of the jobs of either priority.
 	Urgent, Ordinary JobCounts
 }
@@ -61,8 +61,8 @@
 // String returns the report as lines of text: totals, violations and, if there are
 // any, the faults.
 func (r Report) String() string {
-	text := fmt.Sprintf("seed %d: %d flows opened, %d requests answered, %d orders acknowledged, %d faults; urgent jobs: %v; ordinary jobs: %v",
-		r.Seed, r.Flows, r.Requests, r.ConfigChanges, len(r.Faults), r.Urgent, r.Ordinary)
+	text := fmt.Sprintf("seed %d: %d flows opened, %d requests answered, %d configurations and %d orders acknowledged, %d faults; urgent jobs: %v; ordinary jobs: %v",
+		r.Seed, r.Flows, r.Requests, r.ConfigChanges, r.Orders, len(r.Faults), r.Urgent, r.Ordinary)
 	for _, violation := range slices.Concat(r.Violations, r.Overtaken) {
 		text += "\n  BROKEN " + violation
 	}
@@ -148,15 +148,16 @@
 	if err != nil {
 		return r.report, err
 	}
-	runWorkload(ctx, options.Length, d, r, o, random)
-	finish(ctx, d, r, o)
+	sender := &orders{deployment: d, recorder: r, random: rand.New(rand.NewPCG(options.Seed, 4))}
+	runWorkload(ctx, options.Length, d, r, o, sender, random)
+	finish(ctx, d, r, o, sender)
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	return r.report, nil
 }
 
 // runWorkload injects faults while callers and the operator are active.
-func runWorkload(ctx context.Context, length time.Duration, d *deployment, r *recorder, o *operator, random *rand.Rand) {
+func runWorkload(ctx context.Context, length time.Duration, d *deployment, r *recorder, o *operator, sender *orders, random *rand.Rand) {
 	limited, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
 	var working sync.WaitGroup
@@ -164,6 +165,7 @@
 		working.Go(func() { d.runCaller(limited, byte(i)) })
 	}
 	working.Go(func() { o.run(limited) })
+	working.Go(func() { sender.run(limited) })
 	working.Go(func() { d.announce(limited) })
 	working.Go(func() { d.runJobs(limited) })
 	working.Go(func() { d.announceForeign(limited, rand.New(rand.NewPCG(d.options.Seed, 3))) })
@@ -173,8 +175,8 @@
 }
 
 // finish ends all faults and checks that the deployment recovers and that no
-// acknowledged configuration is lost.
-func finish(ctx context.Context, d *deployment, r *recorder, o *operator) {
+// acknowledged configuration or order is lost.
+func finish(ctx context.Context, d *deployment, r *recorder, o *operator, sender *orders) {
 	d.heal()
 	limited, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
@@ -182,6 +184,7 @@
 	if !o.readBack(limited) {
 		r.violation("the configuration can't be read %v after the last fault", settleTimeout)
 	}
+	sender.checkLast(limited)
 	if !d.waitUntilServing(limited) {
 		r.violation("no flow opens %v after the last fault", settleTimeout)
 	}
