--- a/loop/loop.go
+++ b/loop/loop.go
@@ -3,6 +3,9 @@
 // passes them one at a time to the handler that owns the state. No other goroutine
 // accesses that state, so it needs no mutex. The goroutine blocks on channels and on
 // one timer; it never polls.
+//
+// Other goroutines question it with Ask. Confirm checks before that whether the sender of
+// an order still waits.
 package loop
 
 import (
