Lose no second disk in the soak right after the first

The logs: control-3 lost its disk at 12.8 s and was started again at 15.1 s, while control-2, the leader, was killed and control-1 paused; control-1 lost its disk at 15.3 s. Two of three voters were gone, more than the deployment bears (one disk), so no quorum could be formed any more.

Cause: the soak lets another disk be lost only 8 s after the last one, but that wait ended with the run at 15 s, and one more fault is injected after it. Now a wait that is cut short admits no other loss. The check itself is as strict as before.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -105,7 +105,8 @@
 const wipeInterval = 8 * time.Second
 
 // wipe kills a control process, deletes its data folder and starts it again. It does
-// nothing within wipeInterval of the previous disk loss.
+// nothing within wipeInterval of the previous disk loss, and nothing after one that ctx
+// has cut short.
 func (d *deployment) wipe(ctx context.Context, p *process, duration time.Duration, wiping chan struct{}) {
 	select {
 	case wiping <- struct{}{}:
@@ -124,7 +125,9 @@
 	sleep(ctx, duration)
 	d.startAgain(p)
 	sleep(ctx, wipeInterval)
-	<-wiping
+	if ctx.Err() == nil {
+		<-wiping
+	}
 }
 
 // restartBackend restarts a backend server, which loses its flows.
