--- a/soak/orders.go
+++ b/soak/orders.go
@@ -32,13 +32,13 @@
 	deployment *deployment
 	recorder   *recorder
 	random     *rand.Rand
-	// out is the state that the newest order requested, acknowledged whether it was
-	// acknowledged.
+	// out is set if the newest order takes the data centre out of service, acknowledged once
+	// a control instance has acknowledged that order.
 	out, acknowledged bool
 }
 
-// order is the HTTP method of an order.
-func order(out bool) string {
+// methodOf returns the HTTP method of an order.
+func methodOf(out bool) string {
 	if out {
 		return http.MethodPost
 	}
@@ -70,9 +70,9 @@
 	limited, cancel := context.WithTimeout(ctx, time.Duration(o.random.Int64N(int64(maxPatience))))
 	defer cancel()
 	url := fmt.Sprintf("http://%v%s", netip.AddrPortFrom(o.control(), platformtest.PortControl), platformtest.OutPath(ordersDataCentre))
-	status, _, err := doHTTP(limited, order(o.out), url, "")
+	status, _, err := doHTTP(limited, methodOf(o.out), url, "")
 	if err == nil && status >= 400 && status < 500 {
-		o.recorder.violation("order %s %s was refused with %d", order(o.out), ordersDataCentre, status)
+		o.recorder.violation("order %s %s was refused with %d", methodOf(o.out), ordersDataCentre, status)
 	}
 	if err != nil || status != http.StatusOK {
 		return false
@@ -81,7 +81,7 @@
 	return true
 }
 
-// delayedOrder is an order whose last byte is still on its way; nil if there is none.
+// delayedOrder is an order whose last byte is still on its way. A nil one couldn't be sent.
 type delayedOrder struct{ conn net.Conn }
 
 // delay sends all but the last byte of an order to a control instance.
@@ -92,7 +92,7 @@
 	if err != nil {
 		return nil
 	}
-	_, err = io.WriteString(conn, fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %v\r\n\r", order(out), platformtest.OutPath(ordersDataCentre), address))
+	_, err = io.WriteString(conn, fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %v\r\n\r", methodOf(out), platformtest.OutPath(ordersDataCentre), address))
 	if err != nil {
 		_ = conn.Close()
 		return nil
@@ -148,7 +148,7 @@
 	for _, seed := range o.deployment.seeds {
 		revision, out, ok := o.view(ctx, seed.Addr())
 		if ok && revision > since && out != o.out {
-			o.recorder.violation("order %s %s, in effect at revision %v, is undone at %v", order(o.out), ordersDataCentre, since, revision)
+			o.recorder.violation("order %s %s, in effect at revision %v, is undone at %v", methodOf(o.out), ordersDataCentre, since, revision)
 		}
 	}
 }
@@ -166,7 +166,7 @@
 			_, out, ok = o.view(ctx, seed.Addr())
 		}
 		if !ok || out != o.out {
-			o.recorder.violation("order %s %s was acknowledged but is not in effect at %v after the last fault", order(o.out), ordersDataCentre, seed.Addr())
+			o.recorder.violation("order %s %s was acknowledged but is not in effect at %v after the last fault", methodOf(o.out), ordersDataCentre, seed.Addr())
 		}
 	}
 }
