Read an instance's view in one place in the tests of control

Cause: the new test of orders decoded a sync reply's view as the test of companions does. Both call group.view now, with their assertions unchanged.

--- a/consensus/model_test.go
+++ b/consensus/model_test.go
@@ -10,9 +10,9 @@
 )
 
 // TestSafetyAndRecoveryUnderFaults runs three to five cores with lost, duplicated,
-// reordered and delayed messages, one-way partitions, processes that stand still, crashes
-// that lose unsynced writes, lost disks, snapshots and membership changes. The cluster checks election
-// safety, log matching, leader completeness, state machine safety and
+// reordered and delayed messages, one-way partitions, processes that stand still,
+// crashes that lose unsynced writes, lost disks, snapshots and membership changes. The
+// cluster checks election safety, log matching, leader completeness, state machine safety and
 // linearizable reads after every event. At the end the faults stop, and the group
 // must elect a leader, commit a proposal and converge.
 func TestSafetyAndRecoveryUnderFaults(t *testing.T) {
--- a/roles/control/control_test.go
+++ b/roles/control/control_test.go
@@ -190,13 +190,18 @@
 	}
 }
 
-// companions returns the companions in an instance's view.
-func (g *group) companions(i int) []route.Companion {
+// view returns an instance's view, nil if it has none.
+func (g *group) view(i int) (*route.View, error) {
 	reply, err := g.sync(i, 0)
 	if err != nil {
-		return nil
+		return nil, err
 	}
-	view, err := reply.View.Decode()
+	return reply.View.Decode()
+}
+
+// companions returns the companions in an instance's view.
+func (g *group) companions(i int) []route.Companion {
+	view, err := g.view(i)
 	if err != nil || view == nil {
 		return nil
 	}
--- a/roles/control/datacentre_test.go
+++ b/roles/control/datacentre_test.go
@@ -21,11 +21,7 @@
 // out returns the data centres that are out of service in an instance's view.
 func (g *group) out(i int) []core.DataCentre {
 	g.t.Helper()
-	reply, err := g.sync(i, 0)
-	if err != nil {
-		g.t.Fatal(err)
-	}
-	view, err := reply.View.Decode()
+	view, err := g.view(i)
 	if err != nil || view == nil {
 		g.t.Fatalf("instance %d has no view: %v", i, err)
 	}
