Show that a first configuration of version 0 is acknowledged and never in force

Cause: version 0 stands for "no configuration" at the companions, which then never take their backend server for known.

Change: case 11 of the third review, a script, and the stand-ins that its scripts share. The case that was shown before under this number is dropped, since review/4 shows it. Nothing is fixed.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the case. TROUBLE=0 leaves out the pause in reading the log.
+# Runs the case. With TROUBLE=0 the first configuration has version 1.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review3 ] && [ -x target/zinniapulley ] || { echo "build first: the deploy file's build and review/build-3.sh"; exit 2; }
-exec timeout --foreground 118 target/review3 log-stall . review/11
+exec timeout --foreground 118 target/review3 version-zero . review/11
--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -54,8 +54,6 @@
 	service    string
 	ip         netip.Addr
 	folder     string
-	// logs receives what the process writes, a file if it is nil.
-	logs func() (*os.File, func())
 
 	command *exec.Cmd
 	ended   chan struct{}
@@ -153,22 +151,15 @@
 	command := exec.Command(filepath.Join(d.root, words[0]), words[1:]...)
 	command.Dir = d.root
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", names["settings"] + "=" + settings}
-	var output *os.File
-	after := func() {}
-	if m.logs != nil {
-		output, after = m.logs()
-	} else {
-		output, err = os.OpenFile(filepath.Join(d.temp, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-		if err != nil {
-			return err
-		}
+	output, err := os.OpenFile(filepath.Join(d.temp, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
 	}
 	command.Stdout, command.Stderr = output, output
 	if err := command.Start(); err != nil {
 		return err
 	}
 	_ = output.Close()
-	after()
 	m.command, m.ended = command, make(chan struct{})
 	ended := m.ended
 	go func() {
@@ -184,12 +175,6 @@
 	_ = m.command.Process.Signal(s)
 }
 
-// kill kills the process and waits for its end.
-func (m *machine) kill() {
-	m.signal(syscall.SIGKILL)
-	<-m.ended
-}
-
 // running reports whether the process has not ended.
 func (m *machine) running() bool {
 	if m.ended == nil {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,9 +19,11 @@
 // cases maps the names of the cases to what runs them. trouble is false for the run without
 // the disruption.
 var cases = map[string]func(root string, r *record, trouble bool) int{
-	"cold-return": coldReturn,
-	"cold-window": coldWindow,
-	"log-stall":   logStall,
+	"cold-return":    coldReturn,
+	"late-departure": lateDeparture,
+	"late-order":     lateOrder,
+	"leaving-server": leavingServer,
+	"version-zero":   versionZero,
 }
 
 func main() {
--- a/review/standin-3/returns.go
+++ b/review/standin-3/returns.go
@@ -15,6 +15,8 @@
 	frozenBefore = 300 * time.Millisecond
 	emptyFor     = 2200 * time.Millisecond
 	frozenAfter  = 100 * time.Millisecond
+	// offered is how many requests come in a second.
+	offered = 100
 	// betweenReturns is the time between two rounds.
 	betweenReturns = 5 * time.Second
 )
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -45,7 +45,9 @@
 	service string
 	slots   int
 	work    time.Duration
-	born    time.Time
+	// longWork is how long every other request takes on average, if it is set.
+	longWork time.Duration
+	born     time.Time
 
 	conn   *net.UDPConn
 	health net.Listener
@@ -55,6 +57,7 @@
 	mutex       sync.Mutex
 	coldUntil   time.Time
 	draining    bool
+	ended       bool
 	announced   int
 	acked       chan struct{} // closed at the first acknowledged announcement
 	ackedOnce   sync.Once
@@ -76,6 +79,7 @@
 	open     bool
 	asked    bool   // a request waits for its response
 	last     bool   // it is the last one on the flow
+	unacked  int    // packets with data since the last acknowledgement
 	request  string // its id
 	closed   bool
 	acked    uint32 // what the caller has acknowledged
@@ -83,10 +87,15 @@
 
 // startServer starts a server beside the machine's companion.
 func startServer(m *machine, slots int, work, cold time.Duration) (*server, error) {
+	return startServerAs(m, fmt.Sprintf("i-%08x", rand.Uint32()), slots, work, cold)
+}
+
+// startServerAs starts a server with an id.
+func startServerAs(m *machine, id string, slots int, work, cold time.Duration) (*server, error) {
 	d := m.deployment
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &server{
-		machine: m, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: m.service, slots: slots, work: work,
+		machine: m, id: id, service: m.service, slots: slots, work: work,
 		born: time.Now(), coldUntil: time.Now().Add(cold), cancel: cancel, flows: map[flowKey]*serverFlow{}, acked: make(chan struct{}), drainAcked: make(chan struct{}),
 	}
 	at := d.at(m.ip, d.ports.App)
@@ -114,6 +123,9 @@
 
 // stop ends the server.
 func (s *server) stop() {
+	s.mutex.Lock()
+	s.ended = true
+	s.mutex.Unlock()
 	s.cancel()
 	_ = s.conn.Close()
 	_ = s.health.Close()
@@ -263,7 +275,9 @@
 func (s *server) later(p packet, f *serverFlow) {
 	f.open = true
 	f.acked = p.ack
-	if len(p.data) > 0 && p.seq == f.expected && !f.asked {
+	fresh := len(p.data) > 0 && p.seq == f.expected && !f.asked
+	if fresh {
+		f.unacked++
 		f.expected += uint32(len(p.data))
 		f.asked = true
 		f.request, f.last = requestID(p.data), bytes.Contains(p.data, []byte("\r\nConnection: close\r\n"))
@@ -280,7 +294,8 @@
 		delete(s.flows, f.key)
 		return
 	}
-	if len(p.data) > 0 || p.has(flagFin) {
+	if f.unacked > 1 || p.has(flagFin) || (len(p.data) > 0 && !fresh) {
+		f.unacked = 0
 		s.reply(f, flagAck, f.seq+1+f.sent, nil)
 	}
 }
@@ -292,7 +307,11 @@
 		s.waiting = s.waiting[1:]
 		s.running++
 		s.machine.deployment.record.add("server %s (%s) runs request %s", s.id, s.service, f.taken.request)
-		time.AfterFunc(s.work, func() {
+		work := s.work
+		if s.longWork > 0 && rand.IntN(2) == 0 {
+			work = s.longWork
+		}
+		time.AfterFunc(work, func() {
 			s.mutex.Lock()
 			defer s.mutex.Unlock()
 			s.running--
@@ -308,7 +327,7 @@
 	data := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n%s: %s\r\n%s: 1\r\n\r\nok", names["request"], f.request, names["seal"])
 	p := packet{from: f.key.service, to: f.key.caller, flags: flagAck, seq: f.seq + 1 + f.sent, data: data}
 	f.sent += uint32(len(data))
-	if f.last {
+	if f.last || s.draining {
 		p.flags |= flagFin
 		f.sent++
 	}
@@ -321,7 +340,7 @@
 	if int32(f.acked-end) >= 0 || repeats > maxRepeats || s.flows[f.key] != f {
 		return
 	}
-	p.ack = f.expected
+	p.ack, f.unacked = f.expected, 0
 	s.send(p.encode())
 	time.AfterFunc(pause, func() {
 		s.mutex.Lock()
@@ -330,6 +349,14 @@
 	})
 }
 
+// holds reports whether the server lives and holds the open flow.
+func (s *server) holds(key flowKey) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	f := s.flows[key]
+	return !s.ended && f != nil && f.open && !f.closed
+}
+
 // taken returns copies of the opening packets that the server took so far.
 func (s *server) taken() []taken {
 	s.mutex.Lock()
